Gateway: one event loop that steers by registered upstreams and operators' routes

Cause: the product could not run on the users' prepared platform; nothing spoke its store, registrations or request headers. The table service client moved to src/tables.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -4,6 +4,8 @@
 #include "config/config.h"
 #include "entry/entry.h"
 #include "http/http.h"
+#include "observe/log.h"
+#include "platform/platform.h"
 
 #include <docopt/docopt.h>
 
@@ -21,6 +23,7 @@
 
 Usage:
   mustardspoke entry SETTINGS [--check]
+  mustardspoke gateway SETTINGS [--check]
   mustardspoke keys [--seed=TEXT]
   mustardspoke bundle sign-off TEAM REVISION SECTION --key=FILE
   mustardspoke bundle check --root-key=HEX FILE...
@@ -35,6 +38,9 @@
 
 Commands:
   entry            Runs an entry VM; --check only checks its settings.
+  gateway          Runs an entry VM on a prepared platform, whose operators'
+                   table holds routes and whose upstreams register themselves;
+                   --check only checks its settings.
   keys             Prints a new key pair for sign-offs.
   bundle sign-off  Prints SECTION as a section signed by TEAM.
   bundle check     Checks signed sections as one whole bundle.
@@ -96,6 +102,26 @@
   return runEntry(From);
 }
 
+int runGatewayCommand(const Arguments &Given) {
+  std::string Path = option(Given, "SETTINGS");
+  auto Text = readFile(Path);
+  if (!Text)
+    return ExitUsage;
+  Faults Found;
+  steer::GatewayAdapter Adapter = steer::platform::adapter();
+  steer::GatewaySettings From = steer::readGatewaySettings(*Text, Found);
+  if (!Found.empty()) {
+    std::cerr << Path << " has faults:\n" << faultLines(Found);
+    return ExitUsage;
+  }
+  if (Given.at("--check").asBool()) {
+    std::cout << Path << ": no faults\n";
+    return 0;
+  }
+  startLog(From.m_Vm.str(), "info");
+  return steer::runGateway(Path, From, Adapter);
+}
+
 int printKeys(const Arguments &Given) {
   std::string Seed = option(Given, "--seed");
   KeyPair Pair = Seed.empty() ? makeKeyPair() : keyPairFromSeed(Seed);
@@ -233,6 +259,8 @@
   auto Has = [&](const char *Name) { return Given.at(Name).asBool(); };
   if (Has("entry"))
     return runEntryCommand(Given);
+  if (Has("gateway"))
+    return runGatewayCommand(Given);
   if (Has("keys"))
     return printKeys(Given);
   if (Has("sign-off"))
--- a/src/entry/bundle_accept.h
+++ b/src/entry/bundle_accept.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "entry/shared.h"
-#include "platform/platform.h"
+#include "tables/tables.h"
 
 #include <vector>
 
--- a/src/entry/operator_api.h
+++ b/src/entry/operator_api.h
@@ -4,7 +4,7 @@
 
 #include "entry/shared.h"
 #include "http/http.h"
-#include "platform/platform.h"
+#include "tables/tables.h"
 
 namespace mustardspoke {
 
--- /dev/null
+++ b/src/gateway/belief.h
@@ -0,0 +1,86 @@
+/// \file
+/// What the gateway believes of configuration, upstreams and meeting rows:
+/// read from the shared store or from a peer, kept fresh, never set back.
+#pragma once
+
+#include "gateway/state.h"
+#include "gateway/upstream_pool.h"
+#include "inner/beat_codec.h"
+
+#include <map>
+
+namespace mustardspoke::steer {
+
+/// \brief Rows of one table with the newest version seen of each key.
+///
+/// \details Pure bookkeeping: decides which rows are news.
+class RowCache {
+public:
+  /// \brief Takes over one row that was read or reported.
+  /// \returns Whether it is newer than what was known.
+  [[nodiscard]] bool put(const StoreRow &Row);
+  /// \brief Keys that a whole reading of version \p AsOf no longer has.
+  [[nodiscard]] std::vector<std::string>
+  missing(const std::vector<StoreRow> &All, std::uint64_t AsOf) const;
+  /// \brief Marks a key as removed at version \p At.
+  void remove(const std::string &Key, std::uint64_t At);
+
+  [[nodiscard]] const std::map<std::string, StoreRow> &rows() const noexcept {
+    return m_Rows;
+  }
+  [[nodiscard]] std::uint64_t newest() const noexcept { return m_Newest; }
+
+private:
+  /// Removed keys stay, marked so, with the version of their removal.
+  std::map<std::string, StoreRow> m_Rows;
+  std::uint64_t m_Newest = 0; ///< Of all rows ever put.
+};
+
+/// \brief Follows the store's tables.
+class Belief {
+public:
+  Belief(GatewayState &State, UpstreamPool &Pool, RowStore &Store);
+
+  /// \brief Starts the loops that follow the store.
+  void start();
+  /// \brief Reads every table in full, soon; after a doubt.
+  void doubt(std::string_view Why);
+
+  /// \brief Rows for a peer that can't read the store.
+  [[nodiscard]] std::vector<CarriedRow> carried() const;
+  /// \brief Takes over rows from a peer; older ones change nothing.
+  void takeOver(const std::vector<CarriedRow> &Rows);
+
+  /// \brief The store answered the last call on every table.
+  [[nodiscard]] bool storeReached() const noexcept { return m_StoreReached; }
+
+  /// \brief Writes this VM's meeting row, or removes it.
+  awaitable<void> publish();
+  awaitable<void> withdraw();
+
+private:
+  awaitable<void> followFeed(std::string Table);
+  awaitable<void> readAgain(std::string Table, Duration Every);
+  awaitable<bool> readTable(std::string Table);
+  void noteStore(const StoreRead &Read, std::string_view Call);
+
+  void apply(const StoreRow &Row);
+  void applyOperator(const StoreRow &Row);
+  void applyEvacuations();
+  void applyUpstream(const StoreRow &Row);
+  void applyVm(const StoreRow &Row);
+  void removeUpstream(const std::string &Id);
+  awaitable<void> removeLater(std::string Id, std::uint64_t Version);
+
+  GatewayState &m_State;
+  UpstreamPool &m_Pool;
+  RowStore &m_Store;
+  std::map<std::string, RowCache> m_Tables;
+  std::map<std::string, std::uint64_t> m_FeedFrom; ///< 0: read in full first.
+  bool m_StoreReached = false;
+  TimePoint m_StoreLostAt{};
+  TimePoint m_StoreBackAt{};
+  Signal m_Doubt;
+};
+
+} // namespace mustardspoke::steer
--- /dev/null
+++ b/src/gateway/http_message.cpp
@@ -0,0 +1,299 @@
+/// \file
+/// Boost.Beast's parser behind HttpReader, and plain serialization.
+#include "gateway/http_message.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace mustardspoke::steer {
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+char lower(char Letter) noexcept {
+  return Letter >= 'A' && Letter <= 'Z' ? char(Letter + ('a' - 'A')) : Letter;
+}
+
+std::string_view view(beast::string_view Text) noexcept {
+  return {Text.data(), Text.size()};
+}
+
+bool listHolds(std::string_view List, std::string_view Token) noexcept {
+  while (!List.empty()) {
+    std::size_t Comma = std::min(List.find(','), List.size());
+    std::string_view One = List.substr(0, Comma);
+    while (!One.empty() && One.front() == ' ')
+      One.remove_prefix(1);
+    while (!One.empty() && One.back() == ' ')
+      One.remove_suffix(1);
+    if (sameName(One, Token))
+      return true;
+    List.remove_prefix(std::min(Comma + 1, List.size()));
+  }
+  return false;
+}
+
+HttpFault faultOf(const beast::error_code &Error) {
+  if (Error == http::error::header_limit)
+    return HttpFault::HeadTooLarge;
+  if (Error == http::error::body_limit)
+    return HttpFault::BodyTooLarge;
+  if (Error == http::error::partial_message)
+    return HttpFault::Truncated;
+  return HttpFault::Malformed;
+}
+
+} // namespace
+
+bool sameName(std::string_view Left, std::string_view Right) noexcept {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [](char A, char B) { return lower(A) == lower(B); });
+}
+
+const std::string *HttpHead::find(std::string_view Name) const noexcept {
+  for (const HttpField &Field : m_Fields)
+    if (sameName(Field.m_Name, Name))
+      return &Field.m_Value;
+  return nullptr;
+}
+
+bool isConnectionField(const HttpHead &Of, std::string_view Name) noexcept {
+  constexpr std::string_view Fixed[] = {
+      "Connection",         "Keep-Alive", "Proxy-Connection",
+      "Transfer-Encoding",  "TE",         "Trailer",
+      "Upgrade",            "Expect",     "Content-Length",
+      "Proxy-Authenticate", "Proxy-Authorization"};
+  for (std::string_view One : Fixed)
+    if (sameName(Name, One))
+      return true;
+  for (const HttpField &Field : Of.m_Fields)
+    if (sameName(Field.m_Name, "Connection") && listHolds(Field.m_Value, Name))
+      return true;
+  return false;
+}
+
+std::string hostOf(const HttpHead &Of) {
+  const std::string *Host = Of.find("Host");
+  if (!Host)
+    return {};
+  std::string Result = Host->substr(0, Host->find(':'));
+  std::transform(Result.begin(), Result.end(), Result.begin(), lower);
+  return Result;
+}
+
+struct HttpReader::Impl {
+  virtual ~Impl() = default;
+  virtual std::size_t put(std::string_view Bytes, beast::error_code &Error) = 0;
+  virtual void putEnd(beast::error_code &Error) = 0;
+  virtual bool started() const = 0;
+  virtual bool headDone() const = 0;
+  virtual bool done() const = 0;
+  virtual bool endsWithConnection() const = 0;
+
+  HttpHead m_Head;
+  std::string m_Body;
+};
+
+template <bool IsRequest>
+struct HttpReader::Parser final : Impl, http::basic_parser<IsRequest> {
+  using Base = http::basic_parser<IsRequest>;
+
+  Parser(std::uint32_t MostHead, std::uint64_t MostBody, bool Bodiless) {
+    this->eager(true);
+    this->header_limit(MostHead);
+    this->body_limit(MostBody);
+    if (Bodiless)
+      this->skip(true);
+  }
+
+  std::size_t put(std::string_view Bytes, beast::error_code &Error) override {
+    return Base::put(boost::asio::buffer(Bytes.data(), Bytes.size()), Error);
+  }
+  void putEnd(beast::error_code &Error) override { Base::put_eof(Error); }
+  bool started() const override { return Base::got_some(); }
+  bool headDone() const override { return Base::is_header_done(); }
+  bool done() const override { return Base::is_done(); }
+  bool endsWithConnection() const override {
+    return Base::is_header_done() && Base::need_eof();
+  }
+
+  // Names below are Beast's.
+  // NOLINTBEGIN(readability-identifier-naming)
+  void on_request_impl(http::verb /*Known*/, beast::string_view Method,
+                       beast::string_view Target, int Version,
+                       beast::error_code &) override {
+    m_Head.m_Method = view(Method);
+    m_Head.m_Target = view(Target);
+    m_Head.m_Minor = unsigned(Version % 10);
+  }
+  void on_response_impl(int Status, beast::string_view Reason, int Version,
+                        beast::error_code &) override {
+    m_Head.m_Status = unsigned(Status);
+    m_Head.m_Reason = view(Reason);
+    m_Head.m_Minor = unsigned(Version % 10);
+  }
+  void on_field_impl(http::field /*Known*/, beast::string_view Name,
+                     beast::string_view Value, beast::error_code &) override {
+    m_Head.m_Fields.push_back(
+        {std::string(view(Name)), std::string(view(Value))});
+  }
+  void on_header_impl(beast::error_code &Error) override {
+    m_Head.m_KeepAlive = Base::keep_alive();
+    m_Head.m_Chunked = Base::chunked();
+    if (auto Length = Base::content_length())
+      m_Head.m_Length = *Length;
+    // A coding that isn't understood leaves the body's end unknown.
+    if (IsRequest && !m_Head.m_Chunked && m_Head.find("Transfer-Encoding"))
+      Error = http::error::bad_transfer_encoding;
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t> &,
+                         beast::error_code &) override {}
+  std::size_t on_body_impl(beast::string_view Bytes,
+                           beast::error_code &) override {
+    m_Body.append(Bytes.data(), Bytes.size());
+    return Bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, beast::string_view,
+                            beast::error_code &) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view Bytes,
+                                 beast::error_code &) override {
+    m_Body.append(Bytes.data(), Bytes.size());
+    return Bytes.size();
+  }
+  void on_finish_impl(beast::error_code &) override {}
+  // NOLINTEND(readability-identifier-naming)
+
+  using Impl::m_Body;
+  using Impl::m_Head;
+};
+
+HttpReader::HttpReader(Role As, std::uint32_t MostHeadBytes,
+                       std::uint64_t MostBodyBytes)
+    : m_Role(As), m_MostHeadBytes(MostHeadBytes),
+      m_MostBodyBytes(MostBodyBytes) {
+  next();
+}
+HttpReader::~HttpReader() = default;
+HttpReader::HttpReader(HttpReader &&) noexcept = default;
+HttpReader &HttpReader::operator=(HttpReader &&) noexcept = default;
+
+void HttpReader::next(bool Bodiless) {
+  m_Fault = HttpFault::None;
+  if (m_Role == Role::Requests)
+    m_Impl = std::make_unique<Parser<true>>(m_MostHeadBytes, m_MostBodyBytes,
+                                            Bodiless);
+  else
+    m_Impl = std::make_unique<Parser<false>>(m_MostHeadBytes, m_MostBodyBytes,
+                                             Bodiless);
+}
+
+std::size_t HttpReader::feed(std::string_view Bytes) {
+  std::size_t Used = 0;
+  while (Used < Bytes.size() && m_Fault == HttpFault::None && !done()) {
+    beast::error_code Error;
+    std::size_t Now = m_Impl->put(Bytes.substr(Used), Error);
+    Used += Now;
+    if (Error == http::error::need_more || (!Error && Now == 0))
+      break;
+    if (Error)
+      m_Fault = faultOf(Error);
+  }
+  return Used;
+}
+
+void HttpReader::end() {
+  if (done() || m_Fault != HttpFault::None)
+    return;
+  beast::error_code Error;
+  if (headDone())
+    m_Impl->putEnd(Error);
+  if (Error || !done())
+    m_Fault = HttpFault::Truncated;
+}
+
+bool HttpReader::started() const noexcept { return m_Impl->started(); }
+bool HttpReader::headDone() const noexcept { return m_Impl->headDone(); }
+bool HttpReader::done() const noexcept { return m_Impl->done(); }
+bool HttpReader::endsWithConnection() const noexcept {
+  return m_Impl->endsWithConnection();
+}
+const HttpHead &HttpReader::head() const noexcept { return m_Impl->m_Head; }
+std::string &HttpReader::body() noexcept { return m_Impl->m_Body; }
+
+HeadWriter HeadWriter::request(std::string_view Method,
+                               std::string_view Target) {
+  HeadWriter Result;
+  Result.m_Text.append(Method).append(" ").append(Target);
+  Result.m_Text.append(" HTTP/1.1\r\n");
+  return Result;
+}
+
+HeadWriter HeadWriter::response(unsigned Status, std::string_view Reason) {
+  HeadWriter Result;
+  Result.m_Text.append("HTTP/1.1 ").append(std::to_string(Status));
+  Result.m_Text.append(" ").append(Reason).append("\r\n");
+  return Result;
+}
+
+HeadWriter &HeadWriter::field(std::string_view Name, std::string_view Value) {
+  m_Text.append(Name).append(": ").append(Value).append("\r\n");
+  return *this;
+}
+
+HeadWriter &HeadWriter::field(std::string_view Name, std::uint64_t Value) {
+  return field(Name, std::string_view(std::to_string(Value)));
+}
+
+std::string HeadWriter::finish() {
+  m_Text.append("\r\n");
+  return std::move(m_Text);
+}
+
+std::string_view reasonOf(unsigned Status) noexcept {
+  return view(http::obsolete_reason(http::int_to_status(Status)));
+}
+
+std::string chunkOf(std::string_view Bytes) {
+  char Size[20];
+  auto End = std::to_chars(Size, Size + sizeof Size, Bytes.size(), 16).ptr;
+  std::string Result(Size, End);
+  Result.append("\r\n").append(Bytes).append("\r\n");
+  return Result;
+}
+
+std::string queryValue(std::string_view Target, std::string_view Name) {
+  std::size_t Mark = Target.find('?');
+  if (Mark == std::string_view::npos)
+    return {};
+  std::string_view Query = Target.substr(Mark + 1);
+  while (!Query.empty()) {
+    std::size_t End = std::min(Query.find('&'), Query.size());
+    std::string_view One = Query.substr(0, End);
+    Query.remove_prefix(std::min(End + 1, Query.size()));
+    std::size_t Equals = One.find('=');
+    if (One.substr(0, Equals) != Name || Equals == std::string_view::npos)
+      continue;
+    std::string Value;
+    std::string_view Raw = One.substr(Equals + 1);
+    for (std::size_t I = 0; I < Raw.size(); ++I) {
+      unsigned Code = 0;
+      if (Raw[I] == '%' && I + 2 < Raw.size() &&
+          std::from_chars(Raw.data() + I + 1, Raw.data() + I + 3, Code, 16)
+                  .ec == std::errc()) {
+        Value += char(Code);
+        I += 2;
+      } else {
+        Value += Raw[I] == '+' ? ' ' : Raw[I];
+      }
+    }
+    return Value;
+  }
+  return {};
+}
+
+} // namespace mustardspoke::steer
--- /dev/null
+++ b/src/gateway/net.cpp
@@ -0,0 +1,55 @@
+/// \file
+/// Socket options and timers.
+#include "gateway/net.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace mustardspoke::steer {
+
+void detectSilence(Tcp::socket &On, Duration Unanswered) {
+  NetError Ignored;
+  On.set_option(Tcp::no_delay(true), Ignored);
+  On.set_option(asio::socket_base::keep_alive(true), Ignored);
+  int Fd = On.native_handle();
+  // Options that a system lacks leave the slower defaults in place.
+  int Seconds = 1;
+  int Probes = 2;
+  unsigned Millis = unsigned(toMillis(Unanswered));
+  (void)::setsockopt(Fd, IPPROTO_TCP, TCP_KEEPIDLE, &Seconds, sizeof Seconds);
+  (void)::setsockopt(Fd, IPPROTO_TCP, TCP_KEEPINTVL, &Seconds, sizeof Seconds);
+  (void)::setsockopt(Fd, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof Probes);
+  (void)::setsockopt(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &Millis, sizeof Millis);
+}
+
+void CloseTimer::arm(Tcp::socket &Target, TimePoint At) {
+  disarm();
+  m_State = std::make_shared<State>();
+  m_State->m_Target = &Target;
+  m_Timer.expires_at(toSteady(At));
+  m_Timer.async_wait([Armed = m_State](const NetError &Error) {
+    if (Error || !Armed->m_Target)
+      return;
+    Armed->m_Fired = true;
+    NetError Ignored;
+    Armed->m_Target->close(Ignored);
+  });
+}
+
+void CloseTimer::disarm() {
+  if (m_State)
+    m_State->m_Target = nullptr;
+  m_Timer.cancel();
+}
+
+Waiting peek(Tcp::socket &On) {
+  char Byte = 0;
+  ssize_t Got = ::recv(On.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Got > 0)
+    return Waiting::Bytes;
+  if (Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    return Waiting::Nothing;
+  return Waiting::Closed;
+}
+
+} // namespace mustardspoke::steer
--- /dev/null
+++ b/src/gateway/net.h
@@ -0,0 +1,107 @@
+/// \file
+/// Sockets, the clock and coroutine helpers of the gateway.
+#pragma once
+
+#include "core/time.h"
+
+// Before Asio, whose coroutine header uses std::exchange without including it.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <optional>
+#include <string>
+
+namespace mustardspoke::steer {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using NetError = boost::system::error_code;
+using Tcp = asio::ip::tcp;
+using Udp = asio::ip::udp;
+
+/// \brief Completion token that reports errors in \p To instead of throwing.
+inline auto noThrow(NetError &To) {
+  return asio::redirect_error(asio::use_awaitable, To);
+}
+
+/// \brief Now on the steady clock, as the decision modules count time.
+[[nodiscard]] inline TimePoint steadyNow() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+[[nodiscard]] inline std::chrono::steady_clock::time_point
+toSteady(TimePoint At) {
+  return std::chrono::steady_clock::time_point(At.time_since_epoch());
+}
+
+/// \brief Splits "IP:port".
+template <class Protocol>
+[[nodiscard]] std::optional<typename Protocol::endpoint>
+endpointOf(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  NetError Error;
+  auto Ip = asio::ip::make_address(Address.substr(0, Colon), Error);
+  unsigned long Port = std::strtoul(Address.c_str() + Colon + 1, nullptr, 10);
+  if (Error || Port == 0 || Port > 65535)
+    return std::nullopt;
+  return typename Protocol::endpoint(Ip, static_cast<unsigned short>(Port));
+}
+
+/// \brief Detects peers that vanished without a reset.
+/// \param Unanswered Bytes or keep-alive probes may stay unacknowledged for so
+/// long before the connection fails.
+void detectSilence(Tcp::socket &On, Duration Unanswered);
+
+/// \brief Wakes coroutines that wait for a change of state.
+class Signal {
+public:
+  explicit Signal(asio::io_context &Io)
+      : m_Timer(Io, asio::steady_timer::time_point::max()) {}
+  void notify() { m_Timer.cancel(); }
+  awaitable<void> wait() {
+    NetError Ignored;
+    co_await m_Timer.async_wait(noThrow(Ignored));
+  }
+
+private:
+  asio::steady_timer m_Timer;
+};
+
+/// \brief Closes a socket at a point in time unless it is disarmed before.
+class CloseTimer {
+public:
+  CloseTimer(asio::io_context &Io) : m_Timer(Io) {}
+  ~CloseTimer() { disarm(); }
+  CloseTimer(const CloseTimer &) = delete;
+  CloseTimer &operator=(const CloseTimer &) = delete;
+
+  void arm(Tcp::socket &Target, TimePoint At);
+  void disarm();
+  [[nodiscard]] bool fired() const { return m_State && m_State->m_Fired; }
+
+private:
+  struct State {
+    Tcp::socket *m_Target = nullptr; ///< Null once disarmed.
+    bool m_Fired = false;
+  };
+  asio::steady_timer m_Timer;
+  std::shared_ptr<State> m_State;
+};
+
+/// \brief Bytes that wait on \p On, or an end, without reading them.
+enum class Waiting : std::uint8_t { Nothing, Bytes, Closed };
+[[nodiscard]] Waiting peek(Tcp::socket &On);
+
+} // namespace mustardspoke::steer
--- /dev/null
+++ b/src/gateway/state.h
@@ -0,0 +1,57 @@
+/// \file
+/// What the parts of one gateway process share. All of it belongs to the one
+/// thread that runs the event loop, so there are no locks.
+#pragma once
+
+#include "gateway/decoder.h"
+#include "gateway/dialect.h"
+#include "gateway/settings.h"
+#include "observe/metrics.h"
+
+#include <map>
+
+namespace mustardspoke::steer {
+
+/// \brief Mechanisms that may be exchanged for a comparison or a proof.
+struct GatewayStrategies {
+  UpstreamRule m_Choose = chooseByKeyNearFirst;
+};
+
+/// \brief Beliefs and counters of one gateway process.
+struct GatewayState {
+  GatewayState(asio::io_context &Loop, GatewaySettings From,
+               const Dialect &Speaks, RowDecoder Decodes)
+      : m_Io(Loop), m_Settings(std::move(From)), m_Dialect(Speaks),
+        m_Decoder(std::move(Decodes)),
+        m_Fleet(EntryVm{m_Settings.m_Vm, 0, m_Settings.m_Here.m_Region,
+                        m_Settings.m_Here.m_Domain, m_Settings.m_CallerAddress,
+                        m_Settings.m_PeerAddress, false, false,
+                        m_Settings.m_Cores},
+                m_Settings.m_Fleet) {}
+
+  asio::io_context &m_Io;
+  GatewaySettings m_Settings;
+  const Dialect &m_Dialect;
+  RowDecoder m_Decoder;
+  GatewayStrategies m_Strategies;
+
+  RouteTablePtr m_Routes; ///< Null until the first configuration.
+  UpstreamTable m_Upstreams;
+  Fleet m_Fleet;
+  PartDealer m_Parts;
+  std::map<ServiceName, RetryBudget> m_Budgets;
+  /// Running mean of the bytes of a route's answers, by route name.
+  std::map<std::string, double> m_AnswerBytes;
+
+  Metrics m_Metrics;
+  unsigned m_InFlight = 0;   ///< Requests read and not yet answered.
+  TimePoint m_LastRequest{}; ///< When the last request was read.
+  bool m_Leaving = false;    ///< The stop signal came; never taken back.
+
+  /// \brief Takes callers: has a configuration and upstreams, and stays.
+  [[nodiscard]] bool ready() const noexcept {
+    return m_Routes && m_Upstreams.size() > 0 && !m_Leaving;
+  }
+};
+
+} // namespace mustardspoke::steer
--- /dev/null
+++ b/src/inner/beat.capnp
@@ -0,0 +1,38 @@
+# What entry VMs tell each other: a beat by datagram, and rows of the shared
+# store for a VM that can't read them itself.
+@0xd3a1f60f7a51c2be;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("mustardspoke::inner");
+
+struct Load {
+  upstream @0 :UInt64;   # hash of the upstream's identifier
+  inFlight @1 :UInt16;
+}
+
+struct Beat {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  region @2 :Text;
+  domain @3 :Text;
+  callerAddress @4 :Text;
+  peerAddress @5 :Text;
+  ready @6 :Bool;
+  leaving @7 :Bool;
+  routesVersion @8 :UInt64;
+  capacity @9 :Float64;
+  loads @10 :List(Load);
+  # Peer addresses of other VMs, for one that knows nobody.
+  others @11 :List(Text);
+}
+
+struct Row {
+  table @0 :Text;
+  key @1 :Text;
+  value @2 :Data;
+  version @3 :UInt64;
+}
+
+struct Rows {
+  rows @0 :List(Row);
+}
--- /dev/null
+++ b/src/inner/beat_codec.cpp
@@ -0,0 +1,129 @@
+/// \file
+/// Cap'n Proto messages of the gateway's inner protocol.
+#include "inner/beat_codec.h"
+
+#include "inner/beat.capnp.h"
+
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+
+namespace mustardspoke::steer {
+namespace {
+
+/// Words that a decoder may visit; more means a malformed message.
+constexpr std::uint64_t MostWords = 4ULL << 20;
+
+std::string text(capnp::Text::Reader From) {
+  return {From.begin(), From.size()};
+}
+
+std::string packed(capnp::MessageBuilder &Message) {
+  kj::VectorOutputStream Out;
+  capnp::writePackedMessage(Out, Message);
+  auto Bytes = Out.getArray();
+  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+}
+
+kj::ArrayPtr<const kj::byte> bytes(std::string_view From) {
+  return {reinterpret_cast<const kj::byte *>(From.data()), From.size()};
+}
+
+capnp::ReaderOptions limits() {
+  capnp::ReaderOptions Options;
+  Options.traversalLimitInWords = MostWords;
+  return Options;
+}
+
+Beat beatOf(inner::Beat::Reader From) {
+  Beat To;
+  To.m_From.m_Vm = VmName(text(From.getVm()));
+  To.m_From.m_Incarnation = From.getIncarnation();
+  To.m_From.m_Region = RegionName(text(From.getRegion()));
+  To.m_From.m_Domain = DomainName(text(From.getDomain()));
+  To.m_From.m_CallerAddress = text(From.getCallerAddress());
+  To.m_From.m_PeerAddress = text(From.getPeerAddress());
+  To.m_From.m_Ready = From.getReady();
+  To.m_From.m_Leaving = From.getLeaving();
+  To.m_From.m_Capacity = From.getCapacity();
+  To.m_RoutesVersion = From.getRoutesVersion();
+  for (auto Load : From.getLoads())
+    To.m_Loads.push_back({Load.getUpstream(), Load.getInFlight()});
+  for (auto Other : From.getOthers())
+    To.m_Others.push_back(text(Other));
+  return To;
+}
+
+std::vector<CarriedRow> rowsOf(inner::Rows::Reader From) {
+  std::vector<CarriedRow> To;
+  for (auto Row : From.getRows()) {
+    auto Value = Row.getValue();
+    To.push_back({text(Row.getTable()), text(Row.getKey()),
+                  std::string(reinterpret_cast<const char *>(Value.begin()),
+                              Value.size()),
+                  Row.getVersion()});
+  }
+  return To;
+}
+
+/// \brief Decodes a message, which may come from anywhere, with \p Decode.
+template <class Root, class Result, class Function>
+std::optional<Result> decoded(std::string_view Bytes, Function Decode) {
+  std::optional<Result> To;
+  // A malformed message ends in an exception, here and nowhere else.
+  kj::Maybe<kj::Exception> Failure = kj::runCatchingExceptions([&] {
+    kj::ArrayInputStream In(bytes(Bytes));
+    capnp::PackedMessageReader Message(In, limits());
+    To = Decode(Message.getRoot<Root>());
+  });
+  if (Failure != nullptr)
+    return std::nullopt;
+  return To;
+}
+
+} // namespace
+
+std::string encodeBeat(const Beat &From) {
+  capnp::MallocMessageBuilder Message;
+  auto To = Message.initRoot<inner::Beat>();
+  To.setVm(From.m_From.m_Vm.str());
+  To.setIncarnation(From.m_From.m_Incarnation);
+  To.setRegion(From.m_From.m_Region.str());
+  To.setDomain(From.m_From.m_Domain.str());
+  To.setCallerAddress(From.m_From.m_CallerAddress);
+  To.setPeerAddress(From.m_From.m_PeerAddress);
+  To.setReady(From.m_From.m_Ready);
+  To.setLeaving(From.m_From.m_Leaving);
+  To.setCapacity(From.m_From.m_Capacity);
+  To.setRoutesVersion(From.m_RoutesVersion);
+  auto Loads = To.initLoads(unsigned(From.m_Loads.size()));
+  for (unsigned I = 0; I < Loads.size(); ++I) {
+    Loads[I].setUpstream(From.m_Loads[I].m_UpstreamHash);
+    Loads[I].setInFlight(std::uint16_t(From.m_Loads[I].m_InFlight));
+  }
+  auto Others = To.initOthers(unsigned(From.m_Others.size()));
+  for (unsigned I = 0; I < Others.size(); ++I)
+    Others.set(I, From.m_Others[I]);
+  return packed(Message);
+}
+
+std::optional<Beat> decodeBeat(std::string_view Bytes) {
+  return decoded<inner::Beat, Beat>(Bytes, beatOf);
+}
+
+std::string encodeRows(std::span<const CarriedRow> From) {
+  capnp::MallocMessageBuilder Message;
+  auto To = Message.initRoot<inner::Rows>().initRows(unsigned(From.size()));
+  for (unsigned I = 0; I < To.size(); ++I) {
+    To[I].setTable(From[I].m_Table);
+    To[I].setKey(From[I].m_Key);
+    To[I].setValue(bytes(From[I].m_Value));
+    To[I].setVersion(From[I].m_Version);
+  }
+  return packed(Message);
+}
+
+std::optional<std::vector<CarriedRow>> decodeRows(std::string_view Bytes) {
+  return decoded<inner::Rows, std::vector<CarriedRow>>(Bytes, rowsOf);
+}
+
+} // namespace mustardspoke::steer
--- /dev/null
+++ b/src/inner/beat_codec.h
@@ -0,0 +1,39 @@
+/// \file
+/// Beats and store rows between entry VMs, as bytes.
+#pragma once
+
+#include "steer/fleet.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mustardspoke::steer {
+
+/// \brief What an entry VM tells its peers several times a second.
+struct Beat {
+  EntryVm m_From;
+  std::uint64_t m_RoutesVersion = 0; ///< Configuration in force there.
+  std::vector<PeerLoad> m_Loads;
+  std::vector<std::string> m_Others; ///< Peer addresses that it knows.
+};
+
+[[nodiscard]] std::string encodeBeat(const Beat &From);
+/// \returns Nothing if \p Bytes are no beat.
+[[nodiscard]] std::optional<Beat> decodeBeat(std::string_view Bytes);
+
+/// \brief A row of the shared store as one VM passes it to another.
+struct CarriedRow {
+  std::string m_Table;
+  std::string m_Key;
+  std::string m_Value;
+  std::uint64_t m_Version = 0;
+};
+
+[[nodiscard]] std::string encodeRows(std::span<const CarriedRow> From);
+[[nodiscard]] std::optional<std::vector<CarriedRow>>
+decodeRows(std::string_view Bytes);
+
+} // namespace mustardspoke::steer
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -17,7 +17,9 @@
   std::string m_Value;
 };
 
-/// \brief Sends log lines to standard error as one JSON object each.
+/// \brief Sends log lines to standard output as one JSON object each.
+/// \details Never waits for the reader: lines over a rate or a backlog are left
+/// out, and their count is written with the next line.
 /// \param Vm Named in every line.
 /// \param Least "info", "warning" or "error".
 void startLog(const std::string &Vm, const std::string &Least);
--- /dev/null
+++ b/src/steer/choice.cpp
@@ -0,0 +1,189 @@
+/// \file
+/// Rendezvous order by key with bounded load, region by region.
+#include "steer/choice.h"
+
+#include <algorithm>
+#include <array>
+
+namespace mustardspoke::steer {
+namespace {
+
+/// \brief Distance classes, nearest first.
+enum class Tier : std::uint8_t { SameDomain, SameRegion, Elsewhere };
+
+struct Ranked {
+  Upstream *m_One = nullptr;
+  Tier m_Tier = Tier::Elsewhere;
+  std::uint64_t m_Rank = 0; ///< Rendezvous weight; the highest goes first.
+  bool m_Doubtful = false;  ///< Slow or cold: only if nothing else has room.
+};
+
+/// \brief Mixes two hashes; the finalizer of MurmurHash3.
+std::uint64_t mix(std::uint64_t Value) noexcept {
+  Value ^= Value >> 33;
+  Value *= 0xff51afd7ed558ccdULL;
+  Value ^= Value >> 33;
+  Value *= 0xc4ceb9fe1a85ec53ULL;
+  return Value ^ (Value >> 33);
+}
+
+Tier tierOf(const Upstream &One, const Placement &Here, bool Large) {
+  if (Large && One.m_Facts.m_Domain == Here.m_Domain)
+    return Tier::SameDomain;
+  return One.m_Facts.m_Region == Here.m_Region ? Tier::SameRegion
+                                               : Tier::Elsewhere;
+}
+
+/// \brief Median of the mean latencies of those with enough samples.
+Duration medianLatency(std::span<const UpstreamPtr> All,
+                       const UpstreamJudgement &By) {
+  std::vector<Duration> Means;
+  for (const UpstreamPtr &One : All)
+    if (One->samples() >= By.m_SlowSamples)
+      Means.push_back(One->meanLatency());
+  if (Means.empty())
+    return Duration::zero();
+  auto Middle = Means.begin() + std::ptrdiff_t(Means.size() / 2);
+  std::nth_element(Means.begin(), Middle, Means.end());
+  return *Middle;
+}
+
+bool slow(const Upstream &One, Duration Median, const UpstreamJudgement &By) {
+  return Median > Duration::zero() && One.samples() >= By.m_SlowSamples &&
+         One.meanLatency() > Duration(std::int64_t(double(Median.count()) *
+                                                   By.m_SlowFactor));
+}
+
+bool wasTried(const Upstream &One, std::span<const Upstream *const> Tried) {
+  return std::find(Tried.begin(), Tried.end(), &One) != Tried.end();
+}
+
+bool full(const Upstream &One, const ChoiceInput &Input,
+          const ChoiceTuning &Tuning) {
+  return double(One.load(Input.m_Now, Tuning.m_Judgement)) >=
+         double(One.m_Facts.m_Slots) * Tuning.m_FullAt;
+}
+
+std::vector<Ranked> rank(const ChoiceInput &Input, const UpstreamTable &Table,
+                         const Placement &Here, const ChoiceTuning &Tuning) {
+  std::span<const UpstreamPtr> All = Table.of(Input.m_To);
+  Duration Median = medianLatency(All, Tuning.m_Judgement);
+  bool Large = Input.m_MeanAnswerBytes > Tuning.m_LargeAnswerBytes;
+  std::vector<Ranked> Result;
+  for (const UpstreamPtr &One : All) {
+    if (!Table.usable(*One) || wasTried(*One, Input.m_Tried) ||
+        !Input.m_Route.allows(One->m_Facts.m_Region))
+      continue;
+    Ranked Next;
+    Next.m_One = One.get();
+    Next.m_Tier = tierOf(*One, Here, Large);
+    Next.m_Rank = mix(Input.m_KeyHash ^ One->m_Hash);
+    Next.m_Doubtful = One->cold(Input.m_Now) ||
+                      One->ejected(Input.m_Now) ||
+                      slow(*One, Median, Tuning.m_Judgement);
+    Result.push_back(Next);
+  }
+  std::sort(Result.begin(), Result.end(),
+            [](const Ranked &Left, const Ranked &Right) {
+              if (Left.m_Tier != Right.m_Tier)
+                return Left.m_Tier < Right.m_Tier;
+              return Left.m_Rank > Right.m_Rank;
+            });
+  return Result;
+}
+
+Choice chosen(Upstream &To, const ChoiceInput &Input,
+              const ChoiceTuning &Tuning, unsigned Considered) {
+  Choice Result;
+  Result.m_To = UpstreamPtr(&To);
+  Result.m_Load = To.load(Input.m_Now, Tuning.m_Judgement);
+  Result.m_Considered = Considered;
+  return Result;
+}
+
+/// \brief Mean time until the next of an upstream's slots is free.
+Duration expectedRoom(const Upstream &One) {
+  Duration Mean = One.meanLatency();
+  if (Mean == Duration::zero())
+    Mean = 200ms; // Typical work of the services; only before any sample.
+  return Mean / std::max(1U, One.m_Facts.m_Slots);
+}
+
+} // namespace
+
+bool takeColdToken(Upstream &To, const ChoiceInput &Input,
+                   const ChoiceTuning &Tuning) {
+  if (!To.cold(Input.m_Now))
+    return true;
+  if (!Input.m_Service || Input.m_Service->m_ColdPerSecond <= 0)
+    return true;
+  if (Input.m_SendsCold && !Input.m_SendsCold(Input.m_Fleet, To.m_Hash))
+    return false;
+  double Rate = Input.m_Service->m_ColdPerSecond * Tuning.m_ColdShare /
+                Tuning.m_ColdSenders;
+  double Passed = std::chrono::duration<double>(Input.m_Now -
+                                                To.m_ColdFilledAt)
+                      .count();
+  To.m_ColdTokens = std::min(1.0, To.m_ColdTokens + Passed * Rate);
+  To.m_ColdFilledAt = Input.m_Now;
+  if (To.m_ColdTokens < 1)
+    return false;
+  To.m_ColdTokens -= 1;
+  return true;
+}
+
+Choice chooseByKeyNearFirst(const ChoiceInput &Input,
+                            const UpstreamTable &Table, const Placement &Here,
+                            const ChoiceTuning &Tuning) {
+  std::vector<Ranked> Order = rank(Input, Table, Here, Tuning);
+  Choice Refused;
+  if (Order.empty()) {
+    Refused.m_Why = NoUpstream::Unknown;
+    Refused.m_ComeBack = 500ms;
+    return Refused;
+  }
+  std::array<unsigned, 3> Seen{};
+  std::array<unsigned, 3> Most{Tuning.m_NearCandidates, Tuning.m_NearCandidates,
+                               Tuning.m_FarCandidates};
+  unsigned Considered = 0;
+  Duration Soonest = 1s;
+  for (const Ranked &One : Order) {
+    if (One.m_Doubtful)
+      continue;
+    unsigned &Count = Seen[std::size_t(One.m_Tier)];
+    if (Count++ >= Most[std::size_t(One.m_Tier)])
+      continue;
+    ++Considered;
+    if (!full(*One.m_One, Input, Tuning))
+      return chosen(*One.m_One, Input, Tuning, Considered);
+    Soonest = std::min(Soonest, expectedRoom(*One.m_One));
+  }
+  for (const Ranked &One : Order)
+    if (One.m_Doubtful && !One.m_One->ejected(Input.m_Now) &&
+        !full(*One.m_One, Input, Tuning) &&
+        takeColdToken(*One.m_One, Input, Tuning))
+      return chosen(*One.m_One, Input, Tuning, ++Considered);
+  Refused.m_Why = NoUpstream::Full;
+  Refused.m_ComeBack = std::max<Duration>(Soonest, 100ms);
+  Refused.m_Considered = Considered;
+  return Refused;
+}
+
+Choice chooseLeastLoad(const ChoiceInput &Input, const UpstreamTable &Table,
+                       const Placement &Here, const ChoiceTuning &Tuning) {
+  std::vector<Ranked> Order = rank(Input, Table, Here, Tuning);
+  Choice Result;
+  Upstream *Best = nullptr;
+  for (const Ranked &One : Order)
+    if (!One.m_One->cold(Input.m_Now) &&
+        (!Best || One.m_One->load(Input.m_Now, Tuning.m_Judgement) <
+                      Best->load(Input.m_Now, Tuning.m_Judgement)))
+      Best = One.m_One;
+  if (Best)
+    return chosen(*Best, Input, Tuning, unsigned(Order.size()));
+  Result.m_Why = Order.empty() ? NoUpstream::Unknown : NoUpstream::Full;
+  Result.m_ComeBack = 500ms;
+  return Result;
+}
+
+} // namespace mustardspoke::steer
--- /dev/null
+++ b/src/steer/choice.h
@@ -0,0 +1,90 @@
+/// \file
+/// Choice of the upstream for one attempt of a request, or its refusal.
+#pragma once
+
+#include "steer/upstream_table.h"
+
+#include <span>
+
+namespace mustardspoke::steer {
+
+/// \brief Where an entry VM stands.
+struct Placement {
+  RegionName m_Region;
+  DomainName m_Domain;
+};
+
+/// \brief Constants of the choice.
+struct ChoiceTuning {
+  UpstreamJudgement m_Judgement;
+  /// Upstreams tried in the key's order: in the own region, then elsewhere.
+  /// Each step away from the key's first upstream loses its warm state.
+  unsigned m_NearCandidates = 3;
+  unsigned m_FarCandidates = 2;
+  /// Load at which an upstream counts as full, as a multiple of its slots.
+  double m_FullAt = 1.0;
+  /// Answers larger than this stay in the failure domain if they can: above
+  /// it the transfer outweighs the loss of shared warm state.
+  std::uint64_t m_LargeAnswerBytes = 16384;
+  /// Share of a cold upstream's tolerated rate that all VMs together use.
+  double m_ColdShare = 0.8;
+  /// VMs that may send to one cold upstream.
+  unsigned m_ColdSenders = 6;
+};
+
+/// \brief Everything that a choice depends on.
+struct ChoiceInput {
+  const Route &m_Route;
+  const ServiceRules *m_Service = nullptr; ///< Null if not configured.
+  ServiceName m_To;
+  std::uint64_t m_KeyHash = 0;
+  bool m_HasKey = false;
+  TimePoint m_Now;
+  Duration m_Left{}; ///< Until the request's deadline.
+  std::uint64_t m_MeanAnswerBytes = 0;
+  std::span<const Upstream *const> m_Tried; ///< Not to be chosen again.
+  /// Whether this VM is among the senders to a cold upstream, by its hash.
+  bool (*m_SendsCold)(const void *Fleet, std::uint64_t UpstreamHash) = nullptr;
+  const void *m_Fleet = nullptr;
+};
+
+/// \brief Why an attempt has no upstream.
+enum class NoUpstream : std::uint8_t {
+  None,
+  Unknown,  ///< No upstream of the service is known or allowed.
+  Full,     ///< Every one that may be used has its slots full.
+};
+
+struct Choice {
+  UpstreamPtr m_To; ///< Null if refused.
+  NoUpstream m_Why = NoUpstream::None;
+  /// When room is expected; for a refusal only.
+  Duration m_ComeBack{};
+  unsigned m_Load = 0;      ///< Estimated load of the chosen upstream.
+  unsigned m_Considered = 0;
+};
+
+/// \brief A rule that picks an upstream; a row of the strategy table.
+using UpstreamRule = Choice (*)(const ChoiceInput &Input,
+                                const UpstreamTable &Table,
+                                const Placement &Here,
+                                const ChoiceTuning &Tuning);
+
+/// \brief The key's own upstream in the own region, the next ones when it is
+/// full, then other regions; refuses at once when all of these are full.
+[[nodiscard]] Choice chooseByKeyNearFirst(const ChoiceInput &Input,
+                                          const UpstreamTable &Table,
+                                          const Placement &Here,
+                                          const ChoiceTuning &Tuning);
+
+/// \brief Baseline: least load over all regions, never refuses for load.
+[[nodiscard]] Choice chooseLeastLoad(const ChoiceInput &Input,
+                                     const UpstreamTable &Table,
+                                     const Placement &Here,
+                                     const ChoiceTuning &Tuning);
+
+/// \brief Takes one request out of a cold upstream's bucket, if it may.
+[[nodiscard]] bool takeColdToken(Upstream &To, const ChoiceInput &Input,
+                                 const ChoiceTuning &Tuning);
+
+} // namespace mustardspoke::steer
--- /dev/null
+++ b/src/steer/steer.h
@@ -0,0 +1,11 @@
+/// \file
+/// Public header of the steering package: routes, upstreams, choices, budgets
+/// and membership, all without sockets, threads or clocks.
+#pragma once
+
+#include "steer/choice.h"
+#include "steer/fleet.h"
+#include "steer/retry_budget.h"
+#include "steer/route_table.h"
+#include "steer/upstream.h"
+#include "steer/upstream_table.h"
--- /dev/null
+++ b/src/steer/upstream.cpp
@@ -0,0 +1,67 @@
+/// \file
+/// Load estimate, running means and ejection of one upstream.
+#include "steer/upstream.h"
+
+#include <algorithm>
+
+namespace mustardspoke::steer {
+
+void Upstream::report(const LoadReport &Load, TimePoint Now) {
+  m_Load = Load;
+  m_LoadAt = Now;
+  m_SentSince = m_InFlight;
+}
+
+void Upstream::succeeded(Duration Took, bool Repeatable, TimePoint Now,
+                         const UpstreamJudgement &By) {
+  (void)Repeatable;
+  (void)Now;
+  m_FailuresInRow = 0;
+  m_FailedShare *= 1 - By.m_Blend;
+  m_LastEjection = Duration::zero();
+  if (m_Samples++ == 0)
+    m_MeanLatency = Took;
+  else
+    m_MeanLatency += std::chrono::duration_cast<Duration>(
+        (Took - m_MeanLatency) * By.m_Blend);
+}
+
+bool Upstream::failed(TimePoint Now, const UpstreamJudgement &By) {
+  ++m_FailuresInRow;
+  m_FailedShare += (1 - m_FailedShare) * By.m_Blend;
+  bool Eject =
+      m_FailuresInRow >= By.m_EjectAfter || m_FailedShare > By.m_EjectShare;
+  if (!Eject || ejected(Now))
+    return false;
+  m_LastEjection = m_LastEjection == Duration::zero()
+                       ? By.m_EjectFor
+                       : std::min(m_LastEjection * 2, By.m_EjectMost);
+  m_EjectedUntil = Now + m_LastEjection;
+  return true;
+}
+
+void Upstream::refused(TimePoint Now) { m_Refused = Now; }
+
+unsigned Upstream::load(TimePoint Now,
+                        const UpstreamJudgement &By) const noexcept {
+  unsigned Counted = m_InFlight + m_PeersInFlight;
+  if (!m_LoadAt || Now - *m_LoadAt > By.m_ReportLife)
+    return Counted;
+  unsigned Stated = m_Load.m_Running + m_Load.m_Waiting;
+  unsigned Since = m_InFlight > m_SentSince ? m_InFlight - m_SentSince : 0;
+  return std::max(Counted, Stated + Since);
+}
+
+void Upstream::bornAgain() {
+  m_LoadAt.reset();
+  m_Refused.reset();
+  m_MeanLatency = Duration::zero();
+  m_Samples = 0;
+  m_FailuresInRow = 0;
+  m_FailedShare = 0;
+  m_EjectedUntil = {};
+  m_LastEjection = Duration::zero();
+  m_SaidLeaving = false;
+}
+
+} // namespace mustardspoke::steer
--- a/src/platform/client.cpp
+++ b/src/tables/client.cpp
@@ -1,9 +1,9 @@
 /// \file
 /// Requests to the platform and what their outcomes mean.
-#include "platform/client.h"
+#include "tables/client.h"
 
 #include "http/http.h"
-#include "platform/row_codec.h"
+#include "tables/row_codec.h"
 
 namespace mustardspoke {
 namespace {
--- a/src/platform/memory_table.cpp
+++ b/src/tables/memory_table.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Scans and conditional commits in memory.
-#include "platform/memory_table.h"
+#include "tables/memory_table.h"
 
 #include <algorithm>
 
--- a/src/platform/row_codec.cpp
+++ b/src/tables/row_codec.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Encoding and decoding of the table's messages.
-#include "platform/row_codec.h"
+#include "tables/row_codec.h"
 
 namespace mustardspoke {
 namespace {
--- a/tests/bench/capacity_main.cpp
+++ b/tests/bench/capacity_main.cpp
@@ -2,7 +2,7 @@
 /// Slopes for docs/CAPACITY.md. Each section runs at three or more sizes.
 #include "core/core.h"
 #include "inner/inner.h"
-#include "platform/platform.h"
+#include "tables/tables.h"
 #include "support/deployments.h"
 
 #include <capnp/serialize.h>
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -9,7 +9,7 @@
 ///   lose   writes take effect, then are answered 503
 /// POST /vms {"vms":[..]} replaces the VM list.
 #include "http/http.h"
-#include "platform/platform.h"
+#include "tables/tables.h"
 
 #include <chrono>
 #include <iostream>
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "core/core.h"
-#include "platform/memory_table.h"
+#include "tables/memory_table.h"
 
 #include <array>
 #include <functional>
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -5,7 +5,7 @@
 
 #include "config/config.h"
 #include "inner/inner.h"
-#include "platform/platform.h"
+#include "tables/tables.h"
 #include "support/deployments.h"
 
 #include <capnp/message.h>
--- a/tests/unit/shares_test.cpp
+++ b/tests/unit/shares_test.cpp
@@ -4,7 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/core.h"
-#include "platform/memory_table.h"
+#include "tables/memory_table.h"
 #include "support/deployments.h"
 
 #include <rapidcheck.h>
