Steering: two holders a key, a stable local share, admission by expected time

Change: two holders a key; a share of keys, moved in small steps and agreed among a region's VMs, stays in the region; admission by expected wait and work against the target; a stopping VM takes no new request after 0.45 of the grace. Ruled out: the estimate of load (in-flight sums agree with reports).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -86,6 +86,9 @@
       stableHash(Input.m_HasKey ? m_Marks.m_Key : m_Marks.m_RequestId);
   Input.m_Now = steadyNow();
   Input.m_Left = left();
+  Input.m_ToTarget =
+      m_Request->m_ArrivedAt + m_Route->m_TargetLatency - Input.m_Now;
+  Input.m_LocalShare = m_State.m_Shares.of(m_To);
   auto Bytes = m_State.m_AnswerBytes.find(m_Route->m_Name);
   if (Bytes != m_State.m_AnswerBytes.end())
     Input.m_MeanAnswerBytes = std::uint64_t(Bytes->second);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,8 +19,11 @@
 
 /// Exit this long before the grace ends, so that the kill finds nothing.
 constexpr Duration GraceMargin = 600ms;
+/// Part of the grace in which new requests are taken; the rest is for those
+/// under way, whose callers wait 2.5 s at most on the smaller sites.
+constexpr double TakingPart = 0.45;
 /// A leaving VM stays for callers that still hold an old look-up answer.
-constexpr Duration LeastStay = 3500ms;
+constexpr Duration LeastStay = 2500ms;
 /// Without a request for so long, nobody is left who would send one.
 constexpr Duration QuietBeforeExit = 700ms;
 constexpr Duration TickEvery = 500ms;
@@ -91,6 +94,8 @@
   void armSignals();
   void reload(std::string_view Why);
   awaitable<void> leave();
+  /// \brief Closes the callers' port and connections without a request.
+  void stopTaking();
   awaitable<void> tickLoop();
 
   std::string m_Path;
@@ -101,7 +106,8 @@
   Belief m_Belief;
   PeerLink m_Peers;
   asio::signal_set m_Signals;
-  std::vector<std::shared_ptr<Tcp::acceptor>> m_Listening;
+  CallerConnections m_Callers;
+  std::shared_ptr<Tcp::acceptor> m_CallerPort;
 };
 
 std::string plainAnswer(unsigned Status, std::string_view Type,
@@ -176,7 +182,8 @@
              {{"address", Address}, {"cause", Error.message()}});
     return false;
   }
-  m_Listening.push_back(On);
+  if (Address == m_State.m_Settings.m_CallerAddress)
+    m_CallerPort = On;
   asio::co_spawn(
       m_Io, [this, On, Serve]() { return acceptLoop(On, Serve); },
       asio::detached);
@@ -188,6 +195,8 @@
   while (On->is_open()) {
     NetError Error;
     Tcp::socket Caller = co_await On->async_accept(noThrow(Error));
+    if (Error == asio::error::operation_aborted)
+      co_return; // The port was closed.
     if (Error) {
       // Out of descriptors or a caller that left early: others still come.
       logEvent(LogLevel::Warning, "accept-failed",
@@ -200,6 +209,7 @@
         m_State.m_Routes ? m_State.m_Routes->m_Limits : CallerLimits();
     CallerConnectionPtr One(
         new CallerConnection(m_Io, std::move(Caller), Limits, Serve));
+    m_Callers.push_back(*One);
     One->start();
   }
 }
@@ -243,6 +253,15 @@
   logEvent(LogLevel::Info, "settings-reloaded", {{"why", std::string(Why)}});
 }
 
+void Gateway::stopTaking() {
+  NetError Ignored;
+  m_CallerPort->close(Ignored);
+  for (CallerConnection &One : m_Callers)
+    One.closeWhenIdle();
+  logEvent(LogLevel::Info, "stopped-taking",
+           {{"inFlight", std::to_string(m_State.m_InFlight)}});
+}
+
 awaitable<void> Gateway::leave() {
   TimePoint Began = steadyNow();
   logEvent(LogLevel::Info, "stopping",
@@ -252,8 +271,15 @@
       m_Io, [this]() { return m_Belief.withdraw(); }, asio::detached);
   asio::steady_timer Timer(m_Io);
   NetError Ignored;
+  bool Taking = true;
   for (;;) {
     TimePoint Now = steadyNow();
+    Duration TakesFor(std::int64_t(
+        double(m_State.m_Settings.m_Grace.count()) * TakingPart));
+    if (Taking && Now - Began > TakesFor) {
+      Taking = false;
+      stopTaking();
+    }
     bool Quiet = m_State.m_InFlight == 0 &&
                  Now - m_State.m_LastRequest > QuietBeforeExit &&
                  Now - Began > LeastStay;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -74,6 +74,9 @@
     if (One.m_InFlight > 0)
       Result.m_Loads.push_back({One.m_Hash, One.m_InFlight});
   });
+  m_State.m_Shares.each([&Result](std::uint64_t Service, double Local) {
+    Result.m_Shares.push_back({Service, Local});
+  });
   return Result;
 }
 
@@ -126,6 +129,8 @@
       auto Found = Loads.find(One.m_Hash);
       One.m_PeersInFlight = Found == Loads.end() ? 0 : Found->second;
     });
+    m_State.m_Shares.update(m_State.m_Upstreams, m_State.m_Settings.m_Here, Now,
+                            m_State.m_Settings.m_LocalShare);
   }
 }
 
@@ -158,6 +163,9 @@
     send(encodeBeat(ownBeat()), From.m_From.m_PeerAddress);
   }
   m_State.m_Fleet.loads(From.m_From.m_Vm, From.m_Loads, Now);
+  if (From.m_From.m_Region == m_State.m_Settings.m_Here.m_Region)
+    for (const PeerShare &One : From.m_Shares)
+      m_State.m_Shares.heard(One.m_ServiceHash, One.m_Local);
   // Whoever is named here will speak for itself once it is spoken to.
   for (const std::string &Other : From.m_Others)
     if (Other != m_State.m_Settings.m_PeerAddress)
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -36,6 +36,7 @@
 
   RetryBudgetTuning m_Retry;
   ChoiceTuning m_Choice;
+  LocalShareTuning m_LocalShare;
   FleetTuning m_Fleet;
 };
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -38,6 +38,7 @@
   RouteTablePtr m_Routes; ///< Null until the first configuration.
   UpstreamTable m_Upstreams;
   Fleet m_Fleet;
+  LocalShares m_Shares;
   PartDealer m_Parts;
   std::map<ServiceName, RetryBudget> m_Budgets;
   /// Running mean of the bytes of a route's answers, by route name.
--- a/src/inner/beat.capnp
+++ b/src/inner/beat.capnp
@@ -10,6 +10,11 @@
   inFlight @1 :UInt16;
 }
 
+struct Share {
+  service @0 :UInt64;    # hash of the service's name
+  local @1 :Float32;     # share of its keys that the sender's region serves
+}
+
 struct Beat {
   vm @0 :Text;
   incarnation @1 :UInt64;
@@ -24,6 +29,7 @@
   loads @10 :List(Load);
   # Peer addresses of other VMs, for one that knows nobody.
   others @11 :List(Text);
+  shares @12 :List(Share);
 }
 
 struct Row {
--- a/src/inner/beat.capnp.h
+++ b/src/inner/beat.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(fb1cb3d3d98eae47);
+CAPNP_DECLARE_SCHEMA(e64f23da5b3f94fb);
 CAPNP_DECLARE_SCHEMA(dee438d6be3138e4);
 CAPNP_DECLARE_SCHEMA(a001cd27c72c9d70);
 CAPNP_DECLARE_SCHEMA(e006ac87694dd0fc);
@@ -42,6 +43,21 @@
   };
 };
 
+struct Share {
+  Share() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e64f23da5b3f94fb, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Beat {
   Beat() = delete;
 
@@ -50,7 +66,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dee438d6be3138e4, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(dee438d6be3138e4, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -170,6 +186,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Share::Reader {
+public:
+  typedef Share Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService() const;
+
+  inline float getLocal() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Share::Builder {
+public:
+  typedef Share Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline float getLocal();
+  inline void setLocal(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Share::Pipeline {
+public:
+  typedef Share Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Beat::Reader {
 public:
   typedef Beat Reads;
@@ -218,6 +315,9 @@
   inline bool hasOthers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getOthers() const;
 
+  inline bool hasShares() const;
+  inline  ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>::Reader getShares() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -311,6 +411,13 @@
   inline void adoptOthers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownOthers();
 
+  inline bool hasShares();
+  inline  ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>::Builder getShares();
+  inline void setShares( ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>::Builder initShares(unsigned int size);
+  inline void adoptShares(::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>> disownShares();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -554,6 +661,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Share::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Share::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Share::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float Share::Reader::getLocal() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float Share::Builder::getLocal() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Share::Builder::setLocal(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -866,6 +1001,40 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool Beat::Reader::hasShares() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasShares() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setShares( ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptShares(
+    ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>> Beat::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::Share,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool Row::Reader::hasTable() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/inner/beat_codec.cpp
+++ b/src/inner/beat_codec.cpp
@@ -48,6 +48,8 @@
   To.m_RoutesVersion = From.getRoutesVersion();
   for (auto Load : From.getLoads())
     To.m_Loads.push_back({Load.getUpstream(), Load.getInFlight()});
+  for (auto Share : From.getShares())
+    To.m_Shares.push_back({Share.getService(), double(Share.getLocal())});
   for (auto Other : From.getOthers())
     To.m_Others.push_back(text(Other));
   return To;
@@ -100,6 +102,11 @@
     Loads[I].setUpstream(From.m_Loads[I].m_UpstreamHash);
     Loads[I].setInFlight(std::uint16_t(From.m_Loads[I].m_InFlight));
   }
+  auto Shares = To.initShares(unsigned(From.m_Shares.size()));
+  for (unsigned I = 0; I < Shares.size(); ++I) {
+    Shares[I].setService(From.m_Shares[I].m_ServiceHash);
+    Shares[I].setLocal(float(From.m_Shares[I].m_Local));
+  }
   auto Others = To.initOthers(unsigned(From.m_Others.size()));
   for (unsigned I = 0; I < Others.size(); ++I)
     Others.set(I, From.m_Others[I]);
--- a/src/inner/beat_codec.h
+++ b/src/inner/beat_codec.h
@@ -12,11 +12,18 @@
 
 namespace mustardspoke::steer {
 
+/// \brief Share of a service's keys that the sender's region serves itself.
+struct PeerShare {
+  std::uint64_t m_ServiceHash = 0;
+  double m_Local = 1;
+};
+
 /// \brief What an entry VM tells its peers several times a second.
 struct Beat {
   EntryVm m_From;
   std::uint64_t m_RoutesVersion = 0; ///< Configuration in force there.
   std::vector<PeerLoad> m_Loads;
+  std::vector<PeerShare> m_Shares;
   std::vector<std::string> m_Others; ///< Peer addresses that it knows.
 };
 
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -8,12 +8,12 @@
 namespace mustardspoke::steer {
 namespace {
 
-/// \brief Distance classes, nearest first.
-enum class Tier : std::uint8_t { SameDomain, SameRegion, Elsewhere };
+/// \brief Groups of upstreams in the order in which a key asks them.
+enum class Tier : std::uint8_t { SameDomain, First, Second };
 
 struct Ranked {
   Upstream *m_One = nullptr;
-  Tier m_Tier = Tier::Elsewhere;
+  Tier m_Tier = Tier::Second;
   std::uint64_t m_Rank = 0; ///< Rendezvous weight; the highest goes first.
   bool m_Doubtful = false;  ///< Slow or cold: only if nothing else has room.
 };
@@ -27,11 +27,19 @@
   return Value ^ (Value >> 33);
 }
 
-Tier tierOf(const Upstream &One, const Placement &Here, bool Large) {
-  if (Large && One.m_Facts.m_Domain == Here.m_Domain)
+/// \brief Whether the own region serves the key, as the same keys on all VMs
+/// of a region that hold the same share.
+bool servedLocally(const ChoiceInput &Input) {
+  double Position = double(mix(Input.m_KeyHash + 1) >> 11) * 0x1p-53;
+  return Position < Input.m_LocalShare;
+}
+
+Tier tierOf(const Upstream &One, const Placement &Here, bool Large,
+            bool Local) {
+  bool Own = One.m_Facts.m_Region == Here.m_Region;
+  if (Local && Large && One.m_Facts.m_Domain == Here.m_Domain)
     return Tier::SameDomain;
-  return One.m_Facts.m_Region == Here.m_Region ? Tier::SameRegion
-                                               : Tier::Elsewhere;
+  return Own == Local ? Tier::First : Tier::Second;
 }
 
 /// \brief Median of the mean latencies of those with enough samples.
@@ -58,10 +66,38 @@
   return std::find(Tried.begin(), Tried.end(), &One) != Tried.end();
 }
 
-bool full(const Upstream &One, const ChoiceInput &Input,
-          const ChoiceTuning &Tuning) {
-  return double(One.load(Input.m_Now, Tuning.m_Judgement)) >=
-         double(One.m_Facts.m_Slots) * Tuning.m_FullAt;
+/// \brief Expected time to an answer: the wait for a slot, and the work.
+Duration expected(const Upstream &One, const ChoiceInput &Input,
+                  const ChoiceTuning &Tuning) {
+  Duration Mean = One.meanLatency();
+  if (Mean == Duration::zero())
+    Mean = Tuning.m_FirstLatency;
+  double Load = double(One.load(Input.m_Now, Tuning.m_Judgement));
+  double Slots = double(One.m_Facts.m_Slots);
+  double Waits = std::max(0.0, Load + 1 - Slots) / Slots;
+  return Duration(std::int64_t(double(Mean.count()) * (1 + Waits)));
+}
+
+bool hasFreeSlot(const Upstream &One, const ChoiceInput &Input,
+                 const ChoiceTuning &Tuning) {
+  return One.load(Input.m_Now, Tuning.m_Judgement) < One.m_Facts.m_Slots;
+}
+
+/// \brief An answer within the target may be expected, or at least, for a
+/// request that is late already, one without a wait.
+bool worthSending(const Upstream &One, const ChoiceInput &Input,
+                  const ChoiceTuning &Tuning) {
+  if (hasFreeSlot(One, Input, Tuning))
+    return true;
+  Duration Within(
+      std::int64_t(double(Input.m_ToTarget.count()) * Tuning.m_TargetPart));
+  return expected(One, Input, Tuning) <= Within;
+}
+
+bool hasAmpleRoom(const Upstream &One, const ChoiceInput &Input,
+                  const ChoiceTuning &Tuning) {
+  return double(One.load(Input.m_Now, Tuning.m_Judgement)) <
+         double(One.m_Facts.m_Slots) * Tuning.m_StrangerLoad;
 }
 
 std::vector<Ranked> rank(const ChoiceInput &Input, const UpstreamTable &Table,
@@ -69,6 +105,7 @@
   std::span<const UpstreamPtr> All = Table.of(Input.m_To);
   Duration Median = medianLatency(All, Tuning.m_Judgement);
   bool Large = Input.m_MeanAnswerBytes > Tuning.m_LargeAnswerBytes;
+  bool Local = servedLocally(Input);
   std::vector<Ranked> Result;
   for (const UpstreamPtr &One : All) {
     if (!Table.usable(*One) || wasTried(*One, Input.m_Tried) ||
@@ -76,7 +113,7 @@
       continue;
     Ranked Next;
     Next.m_One = One.get();
-    Next.m_Tier = tierOf(*One, Here, Large);
+    Next.m_Tier = tierOf(*One, Here, Large, Local);
     Next.m_Rank = mix(Input.m_KeyHash ^ One->m_Hash);
     Next.m_Doubtful = One->cold(Input.m_Now) ||
                       One->ejected(Input.m_Now) ||
@@ -101,14 +138,6 @@
   return Result;
 }
 
-/// \brief Mean time until the next of an upstream's slots is free.
-Duration expectedRoom(const Upstream &One) {
-  Duration Mean = One.meanLatency();
-  if (Mean == Duration::zero())
-    Mean = 200ms; // Typical work of the services; only before any sample.
-  return Mean / std::max(1U, One.m_Facts.m_Slots);
-}
-
 } // namespace
 
 bool takeColdToken(Upstream &To, const ChoiceInput &Input,
@@ -142,30 +171,28 @@
     Refused.m_ComeBack = 500ms;
     return Refused;
   }
-  std::array<unsigned, 3> Seen{};
-  std::array<unsigned, 3> Most{Tuning.m_NearCandidates, Tuning.m_NearCandidates,
-                               Tuning.m_FarCandidates};
-  unsigned Considered = 0;
+  unsigned Holders = 0;
   Duration Soonest = 1s;
   for (const Ranked &One : Order) {
     if (One.m_Doubtful)
       continue;
-    unsigned &Count = Seen[std::size_t(One.m_Tier)];
-    if (Count++ >= Most[std::size_t(One.m_Tier)])
-      continue;
-    ++Considered;
-    if (!full(*One.m_One, Input, Tuning))
-      return chosen(*One.m_One, Input, Tuning, Considered);
-    Soonest = std::min(Soonest, expectedRoom(*One.m_One));
+    if (++Holders > Tuning.m_Holders)
+      break;
+    if (worthSending(*One.m_One, Input, Tuning))
+      return chosen(*One.m_One, Input, Tuning, Holders);
+    Soonest = std::min(Soonest, expected(*One.m_One, Input, Tuning));
   }
+  for (const Ranked &One : Order)
+    if (!One.m_Doubtful && hasAmpleRoom(*One.m_One, Input, Tuning))
+      return chosen(*One.m_One, Input, Tuning, Holders);
   for (const Ranked &One : Order)
     if (One.m_Doubtful && !One.m_One->ejected(Input.m_Now) &&
-        !full(*One.m_One, Input, Tuning) &&
+        hasFreeSlot(*One.m_One, Input, Tuning) &&
         takeColdToken(*One.m_One, Input, Tuning))
-      return chosen(*One.m_One, Input, Tuning, ++Considered);
+      return chosen(*One.m_One, Input, Tuning, Holders);
   Refused.m_Why = NoUpstream::Full;
-  Refused.m_ComeBack = std::max<Duration>(Soonest, 100ms);
-  Refused.m_Considered = Considered;
+  Refused.m_ComeBack = std::clamp<Duration>(Soonest / 2, 80ms, 400ms);
+  Refused.m_Considered = Holders;
   return Refused;
 }
 
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -17,15 +17,20 @@
 /// \brief Constants of the choice.
 struct ChoiceTuning {
   UpstreamJudgement m_Judgement;
-  /// Upstreams tried in the key's order: in the own region, then elsewhere.
-  /// Each step away from the key's first upstream loses its warm state.
-  unsigned m_NearCandidates = 3;
-  unsigned m_FarCandidates = 2;
-  /// Load at which an upstream counts as full, as a multiple of its slots.
-  double m_FullAt = 1.0;
+  /// Upstreams that share a key's requests. An upstream keeps the state of a
+  /// bounded number of keys; more holders of each key push others out.
+  unsigned m_Holders = 2;
+  /// Part of the time to the target latency that waiting and work may fill by
+  /// estimate; the rest covers their spread and the way to the caller.
+  double m_TargetPart = 0.75;
+  /// Load, in parts of its slots, up to which an upstream that does not hold
+  /// a key takes it: its work on the key costs several times as much.
+  double m_StrangerLoad = 0.5;
   /// Answers larger than this stay in the failure domain if they can: above
   /// it the transfer outweighs the loss of shared warm state.
   std::uint64_t m_LargeAnswerBytes = 16384;
+  /// Mean work before an upstream has answered.
+  Duration m_FirstLatency = 200ms;
   /// Share of a cold upstream's tolerated rate that all VMs together use.
   double m_ColdShare = 0.8;
   /// VMs that may send to one cold upstream.
@@ -40,7 +45,9 @@
   std::uint64_t m_KeyHash = 0;
   bool m_HasKey = false;
   TimePoint m_Now;
-  Duration m_Left{}; ///< Until the request's deadline.
+  Duration m_Left{};     ///< Until the request's deadline.
+  Duration m_ToTarget{}; ///< Until its target latency; negative once late.
+  double m_LocalShare = 1; ///< Share of keys that the own region serves.
   std::uint64_t m_MeanAnswerBytes = 0;
   std::span<const Upstream *const> m_Tried; ///< Not to be chosen again.
   /// Whether this VM is among the senders to a cold upstream, by its hash.
@@ -70,8 +77,9 @@
                                 const Placement &Here,
                                 const ChoiceTuning &Tuning);
 
-/// \brief The key's own upstream in the own region, the next ones when it is
-/// full, then other regions; refuses at once when all of these are full.
+/// \brief The key's holders first, in the own region for a stable share of the
+/// keys; then an upstream with ample room. Refuses at once when no answer
+/// within the target latency can be expected from any of these.
 [[nodiscard]] Choice chooseByKeyNearFirst(const ChoiceInput &Input,
                                           const UpstreamTable &Table,
                                           const Placement &Here,
--- /dev/null
+++ b/src/steer/local_share.cpp
@@ -0,0 +1,87 @@
+/// \file
+/// Control of the shares by how busy the region's upstreams are.
+#include "steer/local_share.h"
+
+#include <algorithm>
+#include <set>
+
+namespace mustardspoke::steer {
+namespace {
+
+struct RegionLoad {
+  unsigned m_OwnSlots = 0;
+  unsigned m_AllSlots = 0;
+  unsigned m_OwnLoad = 0;
+  std::set<RegionName> m_Regions;
+};
+
+std::map<ServiceName, RegionLoad> loads(const UpstreamTable &Table,
+                                        const Placement &Here, TimePoint Now) {
+  std::map<ServiceName, RegionLoad> Result;
+  UpstreamJudgement By;
+  Table.each([&](const Upstream &One) {
+    if (!Table.usable(One))
+      return;
+    RegionLoad &Of = Result[One.m_Facts.m_Service];
+    Of.m_AllSlots += One.m_Facts.m_Slots;
+    Of.m_Regions.insert(One.m_Facts.m_Region);
+    if (One.m_Facts.m_Region != Here.m_Region)
+      return;
+    Of.m_OwnSlots += One.m_Facts.m_Slots;
+    Of.m_OwnLoad += One.load(Now, By);
+  });
+  return Result;
+}
+
+/// \brief The region's part of all slots against an even demand of all
+/// regions; a start from which the control goes on.
+double proportional(const RegionLoad &Of) {
+  if (Of.m_AllSlots == 0)
+    return 1;
+  double Share = double(Of.m_OwnSlots) / double(Of.m_AllSlots);
+  return std::min(1.0, Share * double(Of.m_Regions.size()));
+}
+
+} // namespace
+
+double LocalShares::of(const ServiceName &Service) const {
+  auto Found = m_Shares.find(Service);
+  return Found == m_Shares.end() ? 1 : Found->second.m_Share;
+}
+
+void LocalShares::update(const UpstreamTable &Table, const Placement &Here,
+                         TimePoint Now, const LocalShareTuning &Tuning) {
+  if (Now - m_SteppedAt < Tuning.m_Every)
+    return;
+  m_SteppedAt = Now;
+  for (const auto &[Service, Load] : loads(Table, Here, Now)) {
+    auto [At, New] = m_Shares.try_emplace(Service);
+    Share &One = At->second;
+    if (New) {
+      One.m_Share = proportional(Load);
+      continue;
+    }
+    double Step = 0;
+    double Busy = Load.m_OwnSlots == 0
+                      ? 1
+                      : double(Load.m_OwnLoad) / double(Load.m_OwnSlots);
+    if (Busy > Tuning.m_Busy)
+      Step = -Tuning.m_Step;
+    else if (Busy < Tuning.m_Idle)
+      Step = Tuning.m_Step;
+    double Agreed = (One.m_Share + One.m_HeardSum) / (One.m_Heard + 1);
+    One.m_Share = std::clamp(Agreed + Step, Tuning.m_Least, 1.0);
+    One.m_HeardSum = 0;
+    One.m_Heard = 0;
+  }
+}
+
+void LocalShares::heard(std::uint64_t ServiceHash, double Share) {
+  for (auto &[Service, One] : m_Shares)
+    if (stableHash(Service.str()) == ServiceHash) {
+      One.m_HeardSum += Share;
+      ++One.m_Heard;
+    }
+}
+
+} // namespace mustardspoke::steer
--- /dev/null
+++ b/src/steer/local_share.h
@@ -0,0 +1,57 @@
+/// \file
+/// The share of a service's keys that a region serves itself.
+#pragma once
+
+#include "steer/choice.h"
+
+#include <map>
+
+namespace mustardspoke::steer {
+
+/// \brief Constants of the shares' control.
+struct LocalShareTuning {
+  Duration m_Every = 200ms;
+  /// Largest change a step. Ten steps are two seconds, in which a region may
+  /// move 0.15 of its requests elsewhere.
+  double m_Step = 0.011;
+  /// Busy slots in the region above which keys move out, and below which
+  /// they come back.
+  double m_Busy = 0.85;
+  double m_Idle = 0.6;
+  double m_Least = 0.05; ///< Keeps a region's own upstreams in use.
+};
+
+/// \brief Keeps, for each service, the share of the own region's keys that
+/// its own upstreams serve. The others go to other regions for good, so that
+/// their working set stays warm there.
+///
+/// \details Entry VMs of a region agree by averaging what they tell each
+/// other; a disagreement only sends a few keys to two upstreams.
+class LocalShares {
+public:
+  /// \brief The share in force, 0 to 1.
+  [[nodiscard]] double of(const ServiceName &Service) const;
+
+  /// \brief Moves every share one step, if it is time.
+  void update(const UpstreamTable &Table, const Placement &Here, TimePoint Now,
+              const LocalShareTuning &Tuning);
+
+  /// \brief What a peer of the same region holds.
+  void heard(std::uint64_t ServiceHash, double Share);
+
+  template <class Visit> void each(Visit &&Each) const {
+    for (const auto &[Service, One] : m_Shares)
+      Each(stableHash(Service.str()), One.m_Share);
+  }
+
+private:
+  struct Share {
+    double m_Share = 1;
+    double m_HeardSum = 0; ///< Of peers since the last step.
+    unsigned m_Heard = 0;
+  };
+  std::map<ServiceName, Share> m_Shares;
+  TimePoint m_SteppedAt{};
+};
+
+} // namespace mustardspoke::steer
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -5,6 +5,7 @@
 
 #include "steer/choice.h"
 #include "steer/fleet.h"
+#include "steer/local_share.h"
 #include "steer/retry_budget.h"
 #include "steer/route_table.h"
 #include "steer/upstream.h"
--- a/src/steer/upstream.cpp
+++ b/src/steer/upstream.cpp
@@ -12,18 +12,19 @@
   m_SentSince = m_InFlight;
 }
 
-void Upstream::succeeded(Duration Took, bool Repeatable, TimePoint Now,
+void Upstream::succeeded(Duration Took, unsigned LoadBefore,
                          const UpstreamJudgement &By) {
-  (void)Repeatable;
-  (void)Now;
   m_FailuresInRow = 0;
   m_FailedShare *= 1 - By.m_Blend;
   m_LastEjection = Duration::zero();
+  double Waits = std::max(1.0, double(LoadBefore) / double(m_Facts.m_Slots));
+  double Work = double(Took.count()) / Waits;
+  double Mean = double(m_MeanLatency.count());
   if (m_Samples++ == 0)
-    m_MeanLatency = Took;
+    Mean = Work;
   else
-    m_MeanLatency += std::chrono::duration_cast<Duration>(
-        (Took - m_MeanLatency) * By.m_Blend);
+    Mean += (std::min(Work, Mean * By.m_MostSample) - Mean) * By.m_Blend;
+  m_MeanLatency = Duration(std::int64_t(Mean));
 }
 
 bool Upstream::failed(TimePoint Now, const UpstreamJudgement &By) {
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -42,7 +42,10 @@
   /// Reports older than this say nothing; loads turn over in half a second.
   Duration m_ReportLife = 400ms;
   /// Weight of a new sample in the running means.
-  double m_Blend = 0.2;
+  double m_Blend = 0.15;
+  /// A sample counts at most so many times the mean: work on a key that the
+  /// upstream had not seen takes several times as long.
+  double m_MostSample = 1.6;
   /// An upstream whose mean work takes so many times its service's is slow.
   double m_SlowFactor = 2.5;
   unsigned m_SlowSamples = 4; ///< Needed before the mean is trusted.
@@ -73,7 +76,8 @@
   /// \brief Notes a report that came with an answer.
   void report(const LoadReport &Load, TimePoint Now);
   /// \brief Notes a complete answer.
-  void succeeded(Duration Took, bool Repeatable, TimePoint Now,
+  /// \param LoadBefore Estimated load when it was sent; what it waited for.
+  void succeeded(Duration Took, unsigned LoadBefore,
                  const UpstreamJudgement &By);
   /// \brief Notes a failure that is the upstream's own.
   /// \returns Whether it is ejected by this.
@@ -94,7 +98,8 @@
   [[nodiscard]] bool usable() const noexcept {
     return m_Listed && !m_SaidLeaving && !m_Facts.m_Leaving;
   }
-  /// \brief Mean time to an answer; zero before the first.
+  /// \brief Mean time to an answer without waiting there; zero before the
+  /// first.
   [[nodiscard]] Duration meanLatency() const noexcept { return m_MeanLatency; }
   [[nodiscard]] unsigned samples() const noexcept { return m_Samples; }
   /// \brief Refused a request within the last \p Span.
