Load estimate without the way to an upstream; regions export only to less busy ones

Change: in-flight counts are scaled by work over work and way; a region's share of keys falls only while it is busier than the others. Ruled out: pushing out of keys (60-79 distinct keys an upstream, below what stays warm).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -212,7 +212,7 @@
             {"service", m_To.str()},
             {"key", m_Marks.m_Key},
             {"upstreams", Asked},
-            {"load", std::to_string(m_ChosenLoad)},
+            {"load", std::to_string(int(m_ChosenLoad))},
             {"sent", std::to_string(m_Sent)},
             {"status", std::to_string(Status)},
             {"outcome", std::string(outcomeName(Sample.m_Outcome))},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -89,7 +89,7 @@
   unsigned m_Sent = 0;      ///< Attempts of which bytes may have left.
   bool m_MayHaveRun = false; ///< An attempt ended without a "not run".
   bool m_BodyLost = false;  ///< Body bytes were dropped after sending.
-  unsigned m_ChosenLoad = 0;
+  double m_ChosenLoad = 0; ///< Estimated before the request was sent.
   UpstreamConnectionPtr m_Connection; ///< Of the attempt under way.
   TimePoint m_SentAt{};
   bool m_StrayAnswer = false; ///< Another request's answer came first.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -72,7 +72,7 @@
   Result.m_RoutesVersion = m_State.m_Routes ? m_State.m_Routes->m_Version : 0;
   m_State.m_Upstreams.each([&Result](const Upstream &One) {
     if (One.m_InFlight > 0)
-      Result.m_Loads.push_back({One.m_Hash, One.m_InFlight});
+      Result.m_Loads.push_back({One.m_Hash, One.busyHere()});
   });
   m_State.m_Shares.each([&Result](std::uint64_t Service, double Local) {
     Result.m_Shares.push_back({Service, Local});
@@ -124,10 +124,10 @@
     Timer.expires_after(Spent);
     co_await Timer.async_wait(noThrow(Ignored));
     TimePoint Now = steadyNow();
-    auto Loads = m_State.m_Fleet.peersInFlight(Now);
+    auto Loads = m_State.m_Fleet.peersBusy(Now);
     m_State.m_Upstreams.each([&Loads](Upstream &One) {
       auto Found = Loads.find(One.m_Hash);
-      One.m_PeersInFlight = Found == Loads.end() ? 0 : Found->second;
+      One.m_PeersBusy = Found == Loads.end() ? 0 : Found->second;
     });
     m_State.m_Shares.update(m_State.m_Upstreams, m_State.m_Settings.m_Here, Now,
                             m_State.m_Settings.m_LocalShare);
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -43,6 +43,7 @@
   detectSilence(One->m_Socket, Unacknowledged);
   CloseTimer Timer(m_Io);
   Timer.arm(One->m_Socket, steadyNow() + Within);
+  TimePoint Began = steadyNow();
   co_await One->m_Socket.async_connect(*Address, noThrow(Error));
   bool Late = Timer.fired();
   Timer.disarm();
@@ -50,6 +51,7 @@
     Error = asio::error::make_error_code(asio::error::timed_out);
   if (Error)
     co_return nullptr;
+  To->connected(steadyNow() - Began);
   co_return One;
 }
 
--- a/src/inner/beat.capnp
+++ b/src/inner/beat.capnp
@@ -7,7 +7,7 @@
 
 struct Load {
   upstream @0 :UInt64;   # hash of the upstream's identifier
-  inFlight @1 :UInt16;
+  busyTenths @1 :UInt16; # requests at the upstream, in tenths
 }
 
 struct Share {
--- a/src/inner/beat.capnp.h
+++ b/src/inner/beat.capnp.h
@@ -124,7 +124,7 @@
 
   inline  ::uint64_t getUpstream() const;
 
-  inline  ::uint16_t getInFlight() const;
+  inline  ::uint16_t getBusyTenths() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -157,8 +157,8 @@
   inline  ::uint64_t getUpstream();
   inline void setUpstream( ::uint64_t value);
 
-  inline  ::uint16_t getInFlight();
-  inline void setInFlight( ::uint16_t value);
+  inline  ::uint16_t getBusyTenths();
+  inline void setBusyTenths( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -647,16 +647,16 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Load::Reader::getInFlight() const {
+inline  ::uint16_t Load::Reader::getBusyTenths() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Load::Builder::getInFlight() {
+inline  ::uint16_t Load::Builder::getBusyTenths() {
   return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setInFlight( ::uint16_t value) {
+inline void Load::Builder::setBusyTenths( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
--- a/src/inner/beat_codec.cpp
+++ b/src/inner/beat_codec.cpp
@@ -13,6 +13,8 @@
 /// Words that a decoder may visit; more means a malformed message.
 constexpr std::uint64_t MostWords = 4ULL << 20;
 
+constexpr double BusyUnits = 10; ///< Parts of a request on the wire.
+
 std::string text(capnp::Text::Reader From) {
   return {From.begin(), From.size()};
 }
@@ -47,7 +49,7 @@
   To.m_From.m_Capacity = From.getCapacity();
   To.m_RoutesVersion = From.getRoutesVersion();
   for (auto Load : From.getLoads())
-    To.m_Loads.push_back({Load.getUpstream(), Load.getInFlight()});
+    To.m_Loads.push_back({Load.getUpstream(), Load.getBusyTenths() / BusyUnits});
   for (auto Share : From.getShares())
     To.m_Shares.push_back({Share.getService(), double(Share.getLocal())});
   for (auto Other : From.getOthers())
@@ -100,7 +102,8 @@
   auto Loads = To.initLoads(unsigned(From.m_Loads.size()));
   for (unsigned I = 0; I < Loads.size(); ++I) {
     Loads[I].setUpstream(From.m_Loads[I].m_UpstreamHash);
-    Loads[I].setInFlight(std::uint16_t(From.m_Loads[I].m_InFlight));
+    Loads[I].setBusyTenths(
+        std::uint16_t(From.m_Loads[I].m_Busy * BusyUnits + 0.5));
   }
   auto Shares = To.initShares(unsigned(From.m_Shares.size()));
   for (unsigned I = 0; I < Shares.size(); ++I) {
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -69,18 +69,19 @@
 /// \brief Expected time to an answer: the wait for a slot, and the work.
 Duration expected(const Upstream &One, const ChoiceInput &Input,
                   const ChoiceTuning &Tuning) {
-  Duration Mean = One.meanLatency();
-  if (Mean == Duration::zero())
-    Mean = Tuning.m_FirstLatency;
-  double Load = double(One.load(Input.m_Now, Tuning.m_Judgement));
+  Duration Work = One.meanWork();
+  if (Work == Duration::zero())
+    Work = Tuning.m_FirstLatency;
+  double Load = One.load(Input.m_Now, Tuning.m_Judgement);
   double Slots = double(One.m_Facts.m_Slots);
   double Waits = std::max(0.0, Load + 1 - Slots) / Slots;
-  return Duration(std::int64_t(double(Mean.count()) * (1 + Waits)));
+  return One.path() + Duration(std::int64_t(double(Work.count()) * (1 + Waits)));
 }
 
 bool hasFreeSlot(const Upstream &One, const ChoiceInput &Input,
                  const ChoiceTuning &Tuning) {
-  return One.load(Input.m_Now, Tuning.m_Judgement) < One.m_Facts.m_Slots;
+  return One.load(Input.m_Now, Tuning.m_Judgement) <=
+         double(One.m_Facts.m_Slots) - 1;
 }
 
 /// \brief An answer within the target may be expected, or at least, for a
@@ -96,7 +97,7 @@
 
 bool hasAmpleRoom(const Upstream &One, const ChoiceInput &Input,
                   const ChoiceTuning &Tuning) {
-  return double(One.load(Input.m_Now, Tuning.m_Judgement)) <
+  return One.load(Input.m_Now, Tuning.m_Judgement) <
          double(One.m_Facts.m_Slots) * Tuning.m_StrangerLoad;
 }
 
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -67,7 +67,7 @@
   NoUpstream m_Why = NoUpstream::None;
   /// When room is expected; for a refusal only.
   Duration m_ComeBack{};
-  unsigned m_Load = 0;      ///< Estimated load of the chosen upstream.
+  double m_Load = 0;        ///< Estimated load of the chosen upstream.
   unsigned m_Considered = 0;
 };
 
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -53,12 +53,12 @@
   Found->second.m_LoadsAt = Now;
 }
 
-std::map<std::uint64_t, unsigned> Fleet::peersInFlight(TimePoint Now) const {
-  std::map<std::uint64_t, unsigned> Sum;
+std::map<std::uint64_t, double> Fleet::peersBusy(TimePoint Now) const {
+  std::map<std::uint64_t, double> Sum;
   for (const auto &[Vm, One] : m_Peers)
     if (Now - One.m_LoadsAt < LoadsLife)
       for (const PeerLoad &Load : One.m_Loads)
-        Sum[Load.m_UpstreamHash] += Load.m_InFlight;
+        Sum[Load.m_UpstreamHash] += Load.m_Busy;
   return Sum;
 }
 
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -36,7 +36,7 @@
 /// \brief Load that a peer has put on one upstream.
 struct PeerLoad {
   std::uint64_t m_UpstreamHash = 0;
-  unsigned m_InFlight = 0;
+  double m_Busy = 0; ///< Requests that it has at the upstream.
 };
 
 /// \brief Membership by datagrams, with rows in the store for meeting.
@@ -58,10 +58,10 @@
   /// \brief The load that \p Vm reports; replaces its last report.
   void loads(const VmName &Vm, std::vector<PeerLoad> Of, TimePoint Now);
 
-  /// \brief Sum of the peers' in-flight requests by upstream hash; silent
+  /// \brief Sum of the peers' requests at upstreams, by hash; silent
   /// peers count nothing.
-  [[nodiscard]] std::map<std::uint64_t, unsigned>
-  peersInFlight(TimePoint Now) const;
+  [[nodiscard]] std::map<std::uint64_t, double>
+  peersBusy(TimePoint Now) const;
 
   /// \brief Other VMs that a message may be sent to.
   [[nodiscard]] std::vector<EntryVm> peers() const;
--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -11,7 +11,8 @@
 struct RegionLoad {
   unsigned m_OwnSlots = 0;
   unsigned m_AllSlots = 0;
-  unsigned m_OwnLoad = 0;
+  double m_OwnLoad = 0;
+  double m_AllLoad = 0;
   std::set<RegionName> m_Regions;
 };
 
@@ -25,10 +26,12 @@
     RegionLoad &Of = Result[One.m_Facts.m_Service];
     Of.m_AllSlots += One.m_Facts.m_Slots;
     Of.m_Regions.insert(One.m_Facts.m_Region);
+    double Load = One.load(Now, By);
+    Of.m_AllLoad += Load;
     if (One.m_Facts.m_Region != Here.m_Region)
       return;
     Of.m_OwnSlots += One.m_Facts.m_Slots;
-    Of.m_OwnLoad += One.load(Now, By);
+    Of.m_OwnLoad += Load;
   });
   return Result;
 }
@@ -64,10 +67,14 @@
     double Step = 0;
     double Busy = Load.m_OwnSlots == 0
                       ? 1
-                      : double(Load.m_OwnLoad) / double(Load.m_OwnSlots);
-    if (Busy > Tuning.m_Busy)
+                      : Load.m_OwnLoad / double(Load.m_OwnSlots);
+    unsigned OtherSlots = Load.m_AllSlots - Load.m_OwnSlots;
+    double There = OtherSlots == 0 ? 1
+                                   : (Load.m_AllLoad - Load.m_OwnLoad) /
+                                         double(OtherSlots);
+    if (Busy > Tuning.m_Busy && Busy > There + Tuning.m_Margin)
       Step = -Tuning.m_Step;
-    else if (Busy < Tuning.m_Idle)
+    else if (Busy < Tuning.m_Busy || Busy < There)
       Step = Tuning.m_Step;
     double Agreed = (One.m_Share + One.m_HeardSum) / (One.m_Heard + 1);
     One.m_Share = std::clamp(Agreed + Step, Tuning.m_Least, 1.0);
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -14,10 +14,10 @@
   /// Largest change a step. Ten steps are two seconds, in which a region may
   /// move 0.15 of its requests elsewhere.
   double m_Step = 0.011;
-  /// Busy slots in the region above which keys move out, and below which
-  /// they come back.
-  double m_Busy = 0.85;
-  double m_Idle = 0.6;
+  /// Keys move out when the region's slots are busy above this, and busier
+  /// than elsewhere by the margin.
+  double m_Busy = 0.75;
+  double m_Margin = 0.1;
   double m_Least = 0.05; ///< Keeps a region's own upstreams in use.
 };
 
--- a/src/steer/upstream.cpp
+++ b/src/steer/upstream.cpp
@@ -12,13 +12,15 @@
   m_SentSince = m_InFlight;
 }
 
-void Upstream::succeeded(Duration Took, unsigned LoadBefore,
+void Upstream::succeeded(Duration Took, double LoadBefore,
                          const UpstreamJudgement &By) {
   m_FailuresInRow = 0;
   m_FailedShare *= 1 - By.m_Blend;
   m_LastEjection = Duration::zero();
-  double Waits = std::max(1.0, double(LoadBefore) / double(m_Facts.m_Slots));
-  double Work = double(Took.count()) / Waits;
+  double Waits = std::max(1.0, LoadBefore / double(m_Facts.m_Slots));
+  double Path = double(m_Path.count());
+  double Work =
+      Path + std::max(0.0, double(Took.count()) - Path) / Waits;
   double Mean = double(m_MeanLatency.count());
   if (m_Samples++ == 0)
     Mean = Work;
@@ -43,13 +45,28 @@
 
 void Upstream::refused(TimePoint Now) { m_Refused = Now; }
 
-unsigned Upstream::load(TimePoint Now,
-                        const UpstreamJudgement &By) const noexcept {
-  unsigned Counted = m_InFlight + m_PeersInFlight;
+void Upstream::connected(Duration Took) noexcept {
+  m_Path = m_Path == Duration::zero() ? Took : std::min(m_Path, Took);
+}
+
+Duration Upstream::meanWork() const noexcept {
+  return std::max(m_MeanLatency - m_Path, m_MeanLatency / 10);
+}
+
+double Upstream::busyHere() const noexcept {
+  if (m_MeanLatency == Duration::zero())
+    return m_InFlight;
+  return double(m_InFlight) * double(meanWork().count()) /
+         double(m_MeanLatency.count());
+}
+
+double Upstream::load(TimePoint Now,
+                      const UpstreamJudgement &By) const noexcept {
+  double Counted = busyHere() + m_PeersBusy;
   if (!m_LoadAt || Now - *m_LoadAt > By.m_ReportLife)
     return Counted;
-  unsigned Stated = m_Load.m_Running + m_Load.m_Waiting;
-  unsigned Since = m_InFlight > m_SentSince ? m_InFlight - m_SentSince : 0;
+  double Stated = m_Load.m_Running + m_Load.m_Waiting;
+  double Since = m_InFlight > m_SentSince ? m_InFlight - m_SentSince : 0;
   return std::max(Counted, Stated + Since);
 }
 
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -70,14 +70,14 @@
   bool m_SaidLeaving = false; ///< Its own answer said so; never taken back.
   TimePoint m_ColdUntil{};
 
-  unsigned m_InFlight = 0;      ///< Sent by this VM and not yet answered.
-  unsigned m_PeersInFlight = 0; ///< By all other VMs, as they last said.
+  unsigned m_InFlight = 0; ///< Sent by this VM and not yet answered.
+  double m_PeersBusy = 0;  ///< Sum of busyHere() of all other VMs.
 
   /// \brief Notes a report that came with an answer.
   void report(const LoadReport &Load, TimePoint Now);
   /// \brief Notes a complete answer.
   /// \param LoadBefore Estimated load when it was sent; what it waited for.
-  void succeeded(Duration Took, unsigned LoadBefore,
+  void succeeded(Duration Took, double LoadBefore,
                  const UpstreamJudgement &By);
   /// \brief Notes a failure that is the upstream's own.
   /// \returns Whether it is ejected by this.
@@ -85,9 +85,17 @@
   /// \brief Notes that it refused the request unrun.
   void refused(TimePoint Now);
 
+  /// \brief Notes how long a new connection took: one round trip.
+  void connected(Duration Took) noexcept;
+  [[nodiscard]] Duration path() const noexcept { return m_Path; }
+  /// \brief Mean work on a request, without the way there and back.
+  [[nodiscard]] Duration meanWork() const noexcept;
+
+  /// \brief Own requests in flight that are at the upstream, not on the way.
+  [[nodiscard]] double busyHere() const noexcept;
   /// \brief Requests that it works on or holds waiting, best estimate.
-  [[nodiscard]] unsigned load(TimePoint Now,
-                              const UpstreamJudgement &By) const noexcept;
+  [[nodiscard]] double load(TimePoint Now,
+                            const UpstreamJudgement &By) const noexcept;
   [[nodiscard]] bool cold(TimePoint Now) const noexcept {
     return Now < m_ColdUntil;
   }
@@ -121,6 +129,7 @@
   unsigned m_SentSince = 0;          ///< Own in-flight count at the report.
   std::optional<TimePoint> m_Refused;
   Duration m_MeanLatency{};
+  Duration m_Path{}; ///< Shortest round trip seen; zero before the first.
   unsigned m_Samples = 0;
   unsigned m_FailuresInRow = 0;
   double m_FailedShare = 0; ///< Running mean, 0 to 1.
