--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -24,7 +24,10 @@
   ++m_State.m_InFlight;
 }
 
-Exchange::~Exchange() { --m_State.m_InFlight; }
+Exchange::~Exchange() {
+  *m_Self = nullptr;
+  --m_State.m_InFlight;
+}
 
 void Exchange::stop() {
   if (!m_Connection)
@@ -66,11 +69,11 @@
   m_To = m_State.m_Parts.next(*m_Route);
   m_State.m_Budgets[m_To].request(steadyNow());
   m_Timer.expires_at(toSteady(m_Deadline));
-  m_Timer.async_wait([this](const NetError &Error) {
-    if (Error)
+  m_Timer.async_wait([Self = m_Self](const NetError &Error) {
+    if (Error || !*Self)
       return;
-    m_TimedOut = true;
-    stop();
+    (*Self)->m_TimedOut = true;
+    (*Self)->stop();
   });
   co_return co_await attempts();
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -49,7 +49,6 @@
   awaitable<UpstreamConnectionPtr> connect(UpstreamPtr To);
   [[nodiscard]] std::string requestHead(const Upstream &To) const;
   awaitable<bool> sendRequest(UpstreamPtr To);
-  awaitable<void> sendBody(UpstreamConnectionPtr Over);
   awaitable<AttemptEnd> readAnswer(UpstreamPtr To);
   /// \brief Reads on until \p Until holds. \returns Whether it does.
   template <class Condition>
@@ -83,6 +82,8 @@
   ServiceName m_To;
   TimePoint m_Deadline;
   asio::steady_timer m_Timer;
+  /// Null once the exchange is over; an expiry may be queued by then.
+  std::shared_ptr<Exchange *> m_Self = std::make_shared<Exchange *>(this);
   bool m_TimedOut = false;
   /// Upstreams that may have begun to work on it or that refused it.
   std::vector<UpstreamPtr> m_Tried;
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -51,6 +51,43 @@
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
+/// \brief Sends a request's body while it arrives.
+/// \details Not a member, as the exchange may end first.
+/// \param Sent Set when all of it is out.
+awaitable<void> sendBody(UpstreamConnectionPtr Over, PendingRequestPtr Request,
+                         CallerConnectionPtr From, std::shared_ptr<bool> Sent) {
+  bool Chunked = Request->m_Head.m_Chunked;
+  std::uint64_t At = 0;
+  NetError Error;
+  while (!Error && Over->m_Socket.is_open()) {
+    if (At < Request->m_Dropped)
+      co_return; // A later attempt has taken the body over.
+    std::string Piece = Request->m_Body.substr(At - Request->m_Dropped);
+    if (Piece.empty() && Request->m_Complete)
+      break;
+    if (Piece.empty()) {
+      if (From->gone())
+        co_return;
+      co_await From->bodyChanged();
+      continue;
+    }
+    At += Piece.size();
+    if (Chunked)
+      Piece = chunkOf(Piece);
+    co_await asio::async_write(Over->m_Socket, asio::buffer(Piece),
+                               noThrow(Error));
+    if (At > KeptForRepeat) {
+      Request->m_Body.erase(0, At - Request->m_Dropped);
+      Request->m_Dropped = At;
+      From->bodyTaken();
+    }
+  }
+  if (!Error && Chunked && Over->m_Socket.is_open())
+    co_await asio::async_write(Over->m_Socket, asio::buffer(LastChunk),
+                               noThrow(Error));
+  *Sent = !Error;
+}
+
 } // namespace
 
 awaitable<UpstreamConnectionPtr> Exchange::connect(UpstreamPtr To) {
@@ -108,47 +145,14 @@
     co_return true;
   }
   asio::co_spawn(
-      m_State.m_Io, [this, Over]() { return sendBody(Over); }, asio::detached);
+      m_State.m_Io,
+      [Over, Request = m_Request, From = m_From, Sent = m_BodySent]() {
+        return sendBody(Over, Request, From, Sent);
+      },
+      asio::detached);
   co_return true;
 }
 
-awaitable<void> Exchange::sendBody(UpstreamConnectionPtr Over) {
-  // The exchange may end first; from then on only these are touched.
-  PendingRequestPtr Request = m_Request;
-  CallerConnectionPtr From = m_From;
-  std::shared_ptr<bool> Sent = m_BodySent;
-  bool Chunked = Request->m_Head.m_Chunked;
-  std::uint64_t At = 0;
-  NetError Error;
-  while (!Error && Over->m_Socket.is_open()) {
-    if (At < Request->m_Dropped)
-      co_return; // A later attempt has taken the body over.
-    std::string Piece = Request->m_Body.substr(At - Request->m_Dropped);
-    if (Piece.empty() && Request->m_Complete)
-      break;
-    if (Piece.empty()) {
-      if (From->gone())
-        co_return;
-      co_await From->bodyChanged();
-      continue;
-    }
-    At += Piece.size();
-    if (Chunked)
-      Piece = chunkOf(Piece);
-    co_await asio::async_write(Over->m_Socket, asio::buffer(Piece),
-                               noThrow(Error));
-    if (At > KeptForRepeat) {
-      Request->m_Body.erase(0, At - Request->m_Dropped);
-      Request->m_Dropped = At;
-      From->bodyTaken();
-    }
-  }
-  if (!Error && Chunked && Over->m_Socket.is_open())
-    co_await asio::async_write(Over->m_Socket, asio::buffer(LastChunk),
-                               noThrow(Error));
-  *Sent = !Error;
-}
-
 template <class Condition>
 awaitable<bool> Exchange::readUntil(HttpReader &Reader, Condition Until) {
   UpstreamConnectionPtr Over = m_Connection;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -367,7 +367,10 @@
   // A caller that left must show as an error of the write, not as a signal.
   std::signal(SIGPIPE, SIG_IGN);
   Gateway One(Path, Settings, Adapter);
-  return One.run();
+  int Status = One.run();
+  // Requests that the grace cut off still refer to the gateway's members, so
+  // neither is taken down.
+  std::_Exit(Status);
 }
 
 } // namespace mustardspoke::steer
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -25,7 +25,7 @@
   double m_TargetPart = 0.75;
   /// Load, in parts of its slots, up to which an upstream that does not hold
   /// a key takes it: its work on the key costs several times as much.
-  double m_StrangerLoad = 0.5;
+  double m_StrangerLoad = 0.2;
   /// Answers larger than this stay in the failure domain if they can: above
   /// it the transfer outweighs the loss of shared warm state.
   std::uint64_t m_LargeAnswerBytes = 16384;
