--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -91,6 +91,13 @@
   To.m_Retry.m_Slack = positive(From, "retrySlack", To.m_Retry.m_Slack, Into);
 }
 
+/// \brief Optional constants of the choice, for measurements.
+void readChoice(const Json &From, ChoiceTuning &To, Faults &Into) {
+  To.m_Holders = unsigned(positive(From, "holders", To.m_Holders, Into));
+  To.m_TargetPart = positive(From, "targetPart", To.m_TargetPart, Into);
+  To.m_StrangerLoad = positive(From, "strangerLoad", To.m_StrangerLoad, Into);
+}
+
 } // namespace
 
 std::optional<Duration> durationOf(std::string_view Text) {
@@ -141,6 +148,8 @@
   Result.m_Cores = positive(All, "cores", Result.m_Cores, Into);
   Result.m_LinkMbps = positive(All, "linkMbps", Result.m_LinkMbps, Into);
   readLimits(In.object("limits"), Result, Into);
+  if (const Json *Choice = All.find("choice"))
+    readChoice(*Choice, Result.m_Choice, Into);
   Result.m_LookupLife = std::min(Result.m_LookupLife, Result.m_LookupLifeMost);
   return Result;
 }
