--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -299,6 +299,7 @@
         double((WorkedNow - Worked).count()) /
         (double((Now - WorkedAt).count()) * m_State.m_Settings.m_Cores);
     Worked = WorkedNow;
+    logEvent(LogLevel::Info, "debug-used", {{"used", std::to_string(m_State.m_Fleet.m_Self.m_Used)},{"cap", std::to_string(m_State.m_Fleet.m_Self.m_Capacity)}});
     WorkedAt = Now;
     if (std::int64_t Now = fileStamp(m_Path); Now != Stamp && Now != 0) {
       Stamp = Now;
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -16,10 +16,8 @@
   /// move 0.15 of its requests elsewhere.
   double m_Step = 0.011;
   /// Keys move out when the region's slots are busy above this, and busier
-  /// than elsewhere by the margin. They come back below the idle part; the gap
-  /// keeps keys in place, as each move costs work on a key not held.
+  /// than elsewhere by the margin. Below, they come back.
   double m_Busy = 0.75;
-  double m_Idle = 0.45;
   double m_Margin = 0.1;
   double m_Least = 0.05; ///< Keeps a region's own upstreams in use.
 };
