--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,6 +28,8 @@
 /// Without a request for so long, nobody is left who would send one.
 constexpr Duration QuietBeforeExit = 700ms;
 constexpr Duration TickEvery = 500ms;
+/// Ticks over which the mean lag of the loop is taken.
+constexpr std::int64_t LagBlend = 4;
 /// A difference of the clocks that run on and stand still during a suspension.
 constexpr Duration SuspendedFor = 500ms;
 
@@ -287,20 +289,14 @@
   std::int64_t Stamp = fileStamp(m_Path);
   Duration Suspended = suspendedTime();
   bool WasReady = false;
-  Duration Worked = clockNow(CLOCK_PROCESS_CPUTIME_ID);
-  TimePoint WorkedAt = steadyNow();
   for (;;) {
-    Timer.expires_after(TickEvery);
+    TimePoint Due = steadyNow() + TickEvery;
+    Timer.expires_at(toSteady(Due));
     co_await Timer.async_wait(noThrow(Ignored));
     m_Pool.sweep(steadyNow());
-    Duration WorkedNow = clockNow(CLOCK_PROCESS_CPUTIME_ID);
-    TimePoint Now = steadyNow();
-    m_State.m_Fleet.m_Self.m_Used =
-        double((WorkedNow - Worked).count()) /
-        (double((Now - WorkedAt).count()) * m_State.m_Settings.m_Cores);
-    Worked = WorkedNow;
-    logEvent(LogLevel::Info, "debug-used", {{"used", std::to_string(m_State.m_Fleet.m_Self.m_Used)},{"cap", std::to_string(m_State.m_Fleet.m_Self.m_Capacity)}});
-    WorkedAt = Now;
+    Duration Late = steadyNow() - Due;
+    Duration &Lag = m_State.m_Fleet.m_Self.m_Lag;
+    Lag += (Late - Lag) / LagBlend;
     if (std::int64_t Now = fileStamp(m_Path); Now != Stamp && Now != 0) {
       Stamp = Now;
       reload("file-changed");
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -20,6 +20,18 @@
   return std::min(Of.m_Cores, Of.m_LinkMbps / MbpsPerCore);
 }
 
+/// \brief This VM as its peers will know it.
+inline EntryVm selfOf(const GatewaySettings &From) {
+  EntryVm Self;
+  Self.m_Vm = From.m_Vm;
+  Self.m_Region = From.m_Here.m_Region;
+  Self.m_Domain = From.m_Here.m_Domain;
+  Self.m_CallerAddress = From.m_CallerAddress;
+  Self.m_PeerAddress = From.m_PeerAddress;
+  Self.m_Capacity = capacityOf(From);
+  return Self;
+}
+
 /// \brief Mechanisms that may be exchanged for a comparison or a proof.
 struct GatewayStrategies {
   UpstreamRule m_Choose = chooseByKeyNearFirst;
@@ -31,11 +43,7 @@
                const Dialect &Speaks, RowDecoder Decodes)
       : m_Io(Loop), m_Settings(std::move(From)), m_Dialect(Speaks),
         m_Decoder(std::move(Decodes)),
-        m_Fleet(EntryVm{m_Settings.m_Vm, 0, m_Settings.m_Here.m_Region,
-                        m_Settings.m_Here.m_Domain, m_Settings.m_CallerAddress,
-                        m_Settings.m_PeerAddress, false, false,
-                        capacityOf(m_Settings)},
-                m_Settings.m_Fleet) {}
+        m_Fleet(selfOf(m_Settings), m_Settings.m_Fleet) {}
 
   asio::io_context &m_Io;
   GatewaySettings m_Settings;
--- a/src/inner/beat.capnp
+++ b/src/inner/beat.capnp
@@ -35,7 +35,7 @@
   # table.
   reading @13 :Bool;
   newestRows @14 :List(UInt64);
-  used @15 :Float32;     # part of the sender's processor share in use
+  lagMicros @15 :UInt32; # mean lateness of the sender's timers
 }
 
 # Asks for the rows of each table that changed after a version; the answer is
--- a/src/inner/beat.capnp.c++
+++ b/src/inner/beat.capnp.c++
@@ -137,7 +137,7 @@
   0, 3, i_e64f23da5b3f94fb, nullptr, nullptr, { &s_e64f23da5b3f94fb, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<278> b_dee438d6be3138e4 = {
+static const ::capnp::_::AlignedData<279> b_dee438d6be3138e4 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     228,  56,  49, 190, 214,  56, 228, 222,
      11,   0,   0,   0,   1,   0,   4,   0,
@@ -262,10 +262,10 @@
      15,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,  15,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   2,   0,   0,  42,   0,   0,   0,
+     69,   2,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   2,   0,   0,   3,   0,   1,   0,
-     76,   2,   0,   0,   2,   0,   1,   0,
+     68,   2,   0,   0,   3,   0,   1,   0,
+     80,   2,   0,   0,   2,   0,   1,   0,
     118, 109,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -408,12 +408,13 @@
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117, 115, 101, 100,   0,   0,   0,   0,
-     10,   0,   0,   0,   0,   0,   0,   0,
+    108,  97, 103,  77, 105,  99, 114, 111,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     10,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -423,10 +424,10 @@
   &s_e64f23da5b3f94fb,
   &s_fb1cb3d3d98eae47,
 };
-static const uint16_t m_dee438d6be3138e4[] = {4, 9, 3, 1, 7, 10, 14, 11, 5, 13, 6, 2, 8, 12, 15, 0};
+static const uint16_t m_dee438d6be3138e4[] = {4, 9, 3, 1, 15, 7, 10, 14, 11, 5, 13, 6, 2, 8, 12, 0};
 static const uint16_t i_dee438d6be3138e4[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15};
 const ::capnp::_::RawSchema s_dee438d6be3138e4 = {
-  0xdee438d6be3138e4, b_dee438d6be3138e4.words, 278, d_dee438d6be3138e4, m_dee438d6be3138e4,
+  0xdee438d6be3138e4, b_dee438d6be3138e4.words, 279, d_dee438d6be3138e4, m_dee438d6be3138e4,
   2, 16, i_dee438d6be3138e4, nullptr, nullptr, { &s_dee438d6be3138e4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
--- a/src/inner/beat.capnp.h
+++ b/src/inner/beat.capnp.h
@@ -344,7 +344,7 @@
   inline bool hasNewestRows() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNewestRows() const;
 
-  inline float getUsed() const;
+  inline  ::uint32_t getLagMicros() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -457,8 +457,8 @@
   inline void adoptNewestRows(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNewestRows();
 
-  inline float getUsed();
-  inline void setUsed(float value);
+  inline  ::uint32_t getLagMicros();
+  inline void setLagMicros( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1241,17 +1241,17 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline float Beat::Reader::getUsed() const {
-  return _reader.getDataField<float>(
+inline  ::uint32_t Beat::Reader::getLagMicros() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline float Beat::Builder::getUsed() {
-  return _builder.getDataField<float>(
+inline  ::uint32_t Beat::Builder::getLagMicros() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Beat::Builder::setUsed(float value) {
-  _builder.setDataField<float>(
+inline void Beat::Builder::setLagMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
--- a/src/inner/beat_codec.cpp
+++ b/src/inner/beat_codec.cpp
@@ -61,7 +61,7 @@
   To.m_From.m_Leaving = From.getLeaving();
   To.m_From.m_Capacity = From.getCapacity();
   To.m_From.m_Reading = From.getReading();
-  To.m_From.m_Used = double(From.getUsed());
+  To.m_From.m_Lag = Duration(From.getLagMicros());
   To.m_NewestRows = numbers(From.getNewestRows());
   To.m_RoutesVersion = From.getRoutesVersion();
   for (auto Load : From.getLoads())
@@ -121,7 +121,7 @@
   To.setReady(From.m_From.m_Ready);
   To.setLeaving(From.m_From.m_Leaving);
   To.setCapacity(From.m_From.m_Capacity);
-  To.setUsed(float(From.m_From.m_Used));
+  To.setLagMicros(std::uint32_t(From.m_From.m_Lag.count()));
   To.setReading(From.m_From.m_Reading);
   setNumbers(To.initNewestRows(unsigned(From.m_NewestRows.size())),
              From.m_NewestRows);
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -126,7 +126,7 @@
   for (const EntryVm *One : From)
     if (Large(One)) {
       ++Count;
-      Busy = Busy || One->m_Used > m_Tuning.m_BusyUse;
+      Busy = Busy || One->m_Lag > m_Tuning.m_BusyLag;
     }
   if (!Busy && Count >= m_Tuning.m_LeastNamed)
     std::erase_if(From, [&](const EntryVm *One) { return !Large(One); });
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -22,7 +22,7 @@
   bool m_Leaving = false;
   bool m_Reading = false; ///< Follows the shared store itself, and reaches it.
   double m_Capacity = 1; ///< Relative share of callers that it can carry.
-  double m_Used = 0;     ///< Part of its processor share that is in use.
+  Duration m_Lag{};      ///< Mean lateness of its timers; grows with its work.
 };
 
 struct FleetTuning {
@@ -39,7 +39,7 @@
   /// the larger ones are busy: fewer VMs reuse more connections and know more
   /// of each upstream.
   double m_SmallPart = 0.5;
-  double m_BusyUse = 0.6; ///< Processor use above which a VM counts as busy.
+  Duration m_BusyLag = 25ms; ///< A VM whose timers are later is busy.
 };
 
 /// \brief Load that a peer has put on one upstream.
