--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t ReadPiece = 8192;          // bytes
 constexpr std::size_t MostReadAhead = 256 << 10; // bytes of one body
 constexpr std::size_t MostQueued = 64;           // pipelined requests
+constexpr std::size_t MostAtATime = 16;          // of them being served
 /// The caller reads the last answer within this; then the socket closes.
 constexpr Duration GentleClose = 1s;
 /// Bytes of an answer may stay unacknowledged for so long.
@@ -23,7 +24,7 @@
       m_Serve(std::move(Serve)),
       m_Reader(HttpReader::Role::Requests, Limits.m_HeaderBytes,
                Limits.m_BodyBytes),
-      m_Arrived(Io), m_Taken(Io), m_BodyChanged(Io), m_Guard(Io) {
+      m_Arrived(Io), m_Taken(Io), m_BodyChanged(Io), m_Turn(Io), m_Guard(Io) {
   detectSilence(m_Socket, Unacknowledged);
 }
 
@@ -35,8 +36,15 @@
       m_Io, [Self]() { return Self->serveLoop(); }, asio::detached);
 }
 
-awaitable<bool> CallerConnection::send(std::string Bytes) {
-  if (m_Gone)
+awaitable<bool> CallerConnection::turn(PendingRequestPtr Of) {
+  while (!gone() && m_Queue.front() != Of)
+    co_await m_Turn.wait();
+  co_return !gone();
+}
+
+awaitable<bool> CallerConnection::send(PendingRequestPtr Of,
+                                       std::string Bytes) {
+  if (!co_await turn(Of))
     co_return false;
   NetError Error;
   co_await asio::async_write(m_Socket, asio::buffer(Bytes), noThrow(Error));
@@ -57,8 +65,14 @@
   m_Taken.notify();
   m_BodyChanged.notify();
   m_Guard.cancel();
-  if (auto Then = std::exchange(m_WhenGone, nullptr))
-    Then();
+  cancelHandlers();
+}
+
+void CallerConnection::cancelHandlers() {
+  m_Turn.notify();
+  for (const PendingRequestPtr &One : m_Queue)
+    if (auto Then = std::exchange(One->m_WhenGone, nullptr))
+      Then();
 }
 
 void CallerConnection::armGuard() {
@@ -99,6 +113,7 @@
       m_Arriving->m_ArrivedAt = steadyNow();
       m_Queue.push_back(m_Arriving);
       m_Arrived.notify();
+      m_Turn.notify();
     }
     if (m_Arriving) {
       m_Arriving->m_Body += m_Reader.body();
@@ -145,6 +160,35 @@
   }
 }
 
+void CallerConnection::startHandlers() {
+  std::size_t Running = 0;
+  for (const PendingRequestPtr &One : m_Queue) {
+    if (Running == MostAtATime)
+      return;
+    ++Running;
+    if (!One->m_Started) {
+      One->m_Started = true;
+      asio::co_spawn(
+          m_Io,
+          [Self = CallerConnectionPtr(this), One]() {
+            return Self->handle(One);
+          },
+          asio::detached);
+    }
+    // Nothing behind such a request will be answered.
+    if (!One->m_Head.m_KeepAlive || One->m_HeadLate ||
+        One->m_Fault != HttpFault::None)
+      return;
+  }
+}
+
+awaitable<void> CallerConnection::handle(PendingRequestPtr Request) {
+  Request->m_Keep = co_await m_Serve(CallerConnectionPtr(this), Request);
+  Request->m_WhenGone = nullptr;
+  Request->m_Done = true;
+  m_Turn.notify();
+}
+
 awaitable<void> CallerConnection::serveLoop() {
   CallerConnectionPtr Self(this);
   bool Keep = true;
@@ -153,17 +197,22 @@
       co_await m_Arrived.wait();
       continue;
     }
-    PendingRequestPtr Request = m_Queue.front();
-    Keep = co_await m_Serve(Self, Request);
-    m_WhenGone = nullptr;
-    if (m_Gone)
+    startHandlers();
+    PendingRequestPtr First = m_Queue.front();
+    if (!First->m_Done) {
+      co_await m_Turn.wait();
+      continue;
+    }
+    Keep = First->m_Keep && First->m_Complete;
+    if (!Keep)
       break;
-    Keep = Keep && Request->m_Complete;
     m_Queue.pop_front();
     m_Taken.notify();
+    m_Turn.notify();
     armGuard();
   }
   m_Ended = true;
+  cancelHandlers();
   if (!m_Gone)
     co_await closeGently();
   NetError Ignored;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -27,6 +27,12 @@
   std::string m_Body;
   std::uint64_t m_Dropped = 0;
   bool m_Complete = false; ///< The body has arrived whole.
+
+  bool m_Started = false; ///< A handler serves it.
+  bool m_Done = false;    ///< The handler has ended.
+  bool m_Keep = false;    ///< What the handler returned.
+  /// Called once when the caller leaves before the handler has ended.
+  std::function<void()> m_WhenGone;
 };
 using PendingRequestPtr = boost::intrusive_ptr<PendingRequest>;
 
@@ -38,8 +44,9 @@
 using RequestHandler = std::function<awaitable<bool>(
     CallerConnectionPtr From, PendingRequestPtr Request)>;
 
-/// \brief Reads requests ahead while the first of them is being served, so
-/// that a caller's leaving is noticed at once. Answers go out in order.
+/// \brief Reads requests ahead and serves several at a time; answers go out in
+/// the order of the requests. Reading goes on all the while, so that a caller's
+/// leaving is noticed at once.
 class CallerConnection
     : public boost::intrusive_ref_counter<CallerConnection,
                                           boost::thread_unsafe_counter> {
@@ -50,9 +57,12 @@
   /// \brief Starts reading and serving; the connection keeps itself alive.
   void start();
 
-  /// \brief Sends bytes of an answer.
+  /// \brief Waits until all earlier requests are answered.
   /// \returns Whether the caller is still there.
-  awaitable<bool> send(std::string Bytes);
+  awaitable<bool> turn(PendingRequestPtr Of);
+  /// \brief Sends bytes of the answer to \p Of when its turn has come.
+  /// \returns Whether the caller is still there.
+  awaitable<bool> send(PendingRequestPtr Of, std::string Bytes);
 
   /// \brief Waits until more of a body or its end has arrived, or the caller
   /// has left.
@@ -60,9 +70,8 @@
   /// \brief Lets the reader go on after body bytes were dropped.
   void bodyTaken() { m_Taken.notify(); }
 
-  [[nodiscard]] bool gone() const noexcept { return m_Gone; }
-  /// \brief Calls \p Then once when the caller leaves; null takes it back.
-  void whenGone(std::function<void()> Then) { m_WhenGone = std::move(Then); }
+  /// \brief No further answer can reach the caller.
+  [[nodiscard]] bool gone() const noexcept { return m_Gone || m_Ended; }
 
   /// \brief Closes at once; the last answer stays visibly incomplete.
   void abort();
@@ -70,6 +79,10 @@
 private:
   awaitable<void> readLoop();
   awaitable<void> serveLoop();
+  awaitable<void> handle(PendingRequestPtr Request);
+  /// \brief Starts handlers for requests that have arrived.
+  void startHandlers();
+  void cancelHandlers();
   awaitable<void> closeGently();
   /// \brief Parses what has arrived. \returns Whether reading goes on.
   bool parse();
@@ -83,17 +96,17 @@
   RequestHandler m_Serve;
   HttpReader m_Reader;
   std::string m_In; ///< Read and not yet parsed.
-  /// Requests in order of arrival; the first is the one being served.
+  /// Requests in order of arrival; only the first one's answer is sent.
   std::deque<PendingRequestPtr> m_Queue;
   PendingRequestPtr m_Arriving; ///< Its body is still being read.
   Signal m_Arrived;
   Signal m_Taken;
   Signal m_BodyChanged;
+  Signal m_Turn; ///< A handler ended, or the first request changed.
   asio::steady_timer m_Guard; ///< Limits on idling and on slow heads.
   std::uint64_t m_GuardRound = 0; ///< Tells an old expiry from the last one.
   bool m_Gone = false;     ///< The caller closed, or the connection broke.
-  bool m_Ended = false;    ///< No further request will be served.
-  std::function<void()> m_WhenGone;
+  bool m_Ended = false;    ///< No further request will be answered.
 };
 
 } // namespace mustardspoke::steer
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -38,10 +38,10 @@
 
 awaitable<bool> Exchange::run() {
   m_State.m_LastRequest = steadyNow();
-  m_From->whenGone([this] { stop(); });
+  m_Request->m_WhenGone = [this] { stop(); };
   m_Marks = m_State.m_Dialect.m_ReadRequest(m_Request->m_Head);
   bool Keep = co_await route();
-  m_From->whenGone(nullptr);
+  m_Request->m_WhenGone = nullptr;
   m_Timer.cancel();
   co_return Keep;
 }
@@ -70,6 +70,10 @@
   Duration Patience = m_Marks.m_Patience.value_or(m_Route->m_Timeout);
   m_Deadline =
       m_Request->m_ArrivedAt + std::min(Patience, m_Route->m_Timeout);
+  // If an earlier answer closes the connection, the caller sends this request
+  // again; it must not have been started then.
+  if (!m_Route->idempotent() && !co_await m_From->turn(m_Request))
+    co_return false;
   m_To = m_State.m_Parts.next(*m_Route);
   m_State.m_Budgets[m_To].request(steadyNow());
   m_Timer.expires_at(toSteady(m_Deadline));
@@ -195,7 +199,7 @@
   if (m_Request->m_Head.m_Method == "HEAD")
     Body.clear();
   record(Kind, Status, Why);
-  bool There = co_await m_From->send(Head.finish() + Body);
+  bool There = co_await m_From->send(m_Request, Head.finish() + Body);
   co_return There && !closesAfter();
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -18,6 +18,20 @@
   Aborted,  ///< The answer broke off after a part had been passed on.
 };
 
+/// \brief Counts a request at an upstream while it is there.
+class InFlightCount {
+public:
+  explicit InFlightCount(UpstreamPtr At) : m_At(std::move(At)) {
+    ++m_At->m_InFlight;
+  }
+  ~InFlightCount() { --m_At->m_InFlight; }
+  InFlightCount(const InFlightCount &) = delete;
+  InFlightCount &operator=(const InFlightCount &) = delete;
+
+private:
+  UpstreamPtr m_At;
+};
+
 /// \brief Serves one caller's request from its head to the end of its answer.
 class Exchange {
 public:
@@ -92,6 +106,7 @@
   bool m_BodyLost = false;  ///< Body bytes were dropped after sending.
   double m_ChosenLoad = 0; ///< Estimated before the request was sent.
   UpstreamConnectionPtr m_Connection; ///< Of the attempt under way.
+  std::optional<InFlightCount> m_Counted; ///< While the upstream has it.
   TimePoint m_SentAt{};
   bool m_StrayAnswer = false; ///< Another request's answer came first.
   std::shared_ptr<bool> m_BodySent; ///< Set when the body went out whole.
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -30,20 +30,6 @@
 /// Weight of one answer in the running mean of a route's answer sizes.
 constexpr double SizeBlend = 0.1;
 
-/// \brief Counts a request at an upstream while it is there.
-class InFlightCount {
-public:
-  explicit InFlightCount(UpstreamPtr At) : m_At(std::move(At)) {
-    ++m_At->m_InFlight;
-  }
-  ~InFlightCount() { --m_At->m_InFlight; }
-  InFlightCount(const InFlightCount &) = delete;
-  InFlightCount &operator=(const InFlightCount &) = delete;
-
-private:
-  UpstreamPtr m_At;
-};
-
 bool serverError(unsigned Status) { return Status >= 500; }
 bool success(unsigned Status) { return Status >= 200 && Status < 300; }
 /// \brief Statuses that tell a caller that its request has not run.
@@ -209,14 +195,17 @@
 }
 
 awaitable<AttemptEnd> Exchange::attempt(UpstreamPtr To) {
-  InFlightCount Counted(To);
+  m_Counted.emplace(To);
   m_Connection = co_await connect(To);
-  if (!m_Connection)
+  if (!m_Connection) {
+    m_Counted.reset();
     co_return AttemptEnd::NotSent;
+  }
   if (stopped()) {
     if (m_Connection->m_Used)
       m_Pool.keep(*To, m_Connection, steadyNow());
     m_Connection.reset();
+    m_Counted.reset();
     co_return AttemptEnd::NotSent;
   }
   AttemptEnd End = AttemptEnd::Lost;
@@ -228,6 +217,7 @@
     m_Connection->m_Socket.close(Ignored);
   }
   m_Connection.reset();
+  m_Counted.reset();
   m_BodyLost = m_Request->m_Dropped > 0;
   if (End == AttemptEnd::Lost || End == AttemptEnd::Failed)
     m_MayHaveRun = true;
@@ -292,6 +282,7 @@
   if (!Reader.done())
     co_return co_await stream(Reader);
   finish(*To, Reader);
+  m_Counted.reset(); // It may wait long for its turn at the caller.
   HeldAnswer Whole{Reader.head(), std::move(Reader.body())};
   if (serverError(Status) && m_Route->idempotent()) {
     To->failed(steadyNow(), m_State.m_Settings.m_Choice.m_Judgement);
@@ -337,7 +328,7 @@
     Head.field("Content-Length", std::uint64_t(Held.m_Body.size()));
   record(success(Status) ? ErrorKind::None : ErrorKind::UpstreamLost, Status,
          success(Status) ? "" : "upstream-status");
-  bool There = co_await m_From->send(Head.finish() + Held.m_Body);
+  bool There = co_await m_From->send(m_Request, Head.finish() + Held.m_Body);
   co_return There && !closesAfter();
 }
 
@@ -357,7 +348,7 @@
       Out += Chunked ? chunkOf(Piece) : Piece;
     if (Chunked && Reader.done())
       Out += LastChunk;
-    if (!co_await m_From->send(std::exchange(Out, {})))
+    if (!co_await m_From->send(m_Request, std::exchange(Out, {})))
       co_return AttemptEnd::Aborted;
     if (Reader.done())
       break;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -155,10 +155,10 @@
   return [this, Answer](CallerConnectionPtr From,
                         PendingRequestPtr Request) -> awaitable<bool> {
     if (Request->m_Fault != HttpFault::None || Request->m_HeadLate) {
-      co_await From->send(plainAnswer(400, "text/plain", "unreadable\n"));
+      co_await From->send(Request, plainAnswer(400, "text/plain", "unreadable\n"));
       co_return false;
     }
-    bool There = co_await From->send((this->*Answer)(Request->m_Head));
+    bool There = co_await From->send(Request, (this->*Answer)(Request->m_Head));
     co_return There && Request->m_Head.m_KeepAlive;
   };
 }
