--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -167,6 +167,8 @@
       return;
     ++Running;
     if (!One->m_Started) {
+      if (m_CloseAnnounced)
+        return;
       One->m_Started = true;
       asio::co_spawn(
           m_Io,
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -70,6 +70,13 @@
   /// \brief Lets the reader go on after body bytes were dropped.
   void bodyTaken() { m_Taken.notify(); }
 
+  /// \brief The answer under way says that the connection closes; requests
+  /// that arrive from now on are not served.
+  void announceClose() noexcept { m_CloseAnnounced = true; }
+  /// \brief No request has arrived behind \p Of.
+  [[nodiscard]] bool isLast(const PendingRequestPtr &Of) const {
+    return !m_Queue.empty() && m_Queue.back() == Of;
+  }
   /// \brief No further answer can reach the caller.
   [[nodiscard]] bool gone() const noexcept { return m_Gone || m_Ended; }
 
@@ -106,6 +113,7 @@
   asio::steady_timer m_Guard; ///< Limits on idling and on slow heads.
   std::uint64_t m_GuardRound = 0; ///< Tells an old expiry from the last one.
   bool m_Gone = false;     ///< The caller closed, or the connection broke.
+  bool m_CloseAnnounced = false;
   bool m_Ended = false;    ///< No further request will be answered.
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -131,7 +131,7 @@
     Last = co_await attempt(Picked.m_To);
     switch (Last) {
     case AttemptEnd::Answered:
-      co_return !closesAfter();
+      co_return !m_Closes;
     case AttemptEnd::Aborted:
       m_From->abort();
       co_return false;
@@ -176,9 +176,14 @@
                             ComeBack, Why);
 }
 
-bool Exchange::closesAfter() const {
-  return m_State.m_Leaving || !m_Request->m_Head.m_KeepAlive ||
-         !m_Request->m_Complete;
+void Exchange::endConnection(HeadWriter &Head) {
+  // A leaving VM first answers what has arrived behind; it may be under way.
+  m_Closes = (m_State.m_Leaving && m_From->isLast(m_Request)) ||
+             !m_Request->m_Head.m_KeepAlive || !m_Request->m_Complete;
+  if (!m_Closes)
+    return;
+  m_From->announceClose();
+  Head.field("Connection", "close");
 }
 
 awaitable<bool> Exchange::refuse(ErrorKind Kind, Duration ComeBack,
@@ -194,13 +199,12 @@
   std::string Body = std::string(Rule.m_Text) + "\n";
   Head.field("Content-Type", "text/plain");
   Head.field("Content-Length", std::uint64_t(Body.size()));
-  if (closesAfter())
-    Head.field("Connection", "close");
+  endConnection(Head);
   if (m_Request->m_Head.m_Method == "HEAD")
     Body.clear();
   record(Kind, Status, Why);
   bool There = co_await m_From->send(m_Request, Head.finish() + Body);
-  co_return There && !closesAfter();
+  co_return There && !m_Closes;
 }
 
 void Exchange::record(ErrorKind Error, unsigned Status, std::string_view Why) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -76,10 +76,17 @@
   awaitable<bool> refuse(ErrorKind Kind, Duration ComeBack,
                          std::string_view Why);
   /// \brief Fields of an upstream's answer that the caller gets.
-  void copyAnswerFields(HeadWriter &To, const HttpHead &From) const;
-  [[nodiscard]] bool closesAfter() const;
+  void copyAnswerFields(HeadWriter &To, const HttpHead &From);
+  /// \brief Decides, as the answer's head is written, whether the connection
+  /// closes behind it.
+  void endConnection(HeadWriter &Head);
 
   void stop();
+  /// \brief Ends an attempt without a usable answer.
+  AttemptEnd lost(std::string_view Cause) {
+    m_LostCause = Cause;
+    return AttemptEnd::Lost;
+  }
   [[nodiscard]] bool stopped() const noexcept {
     return m_TimedOut || m_From->gone();
   }
@@ -99,6 +106,7 @@
   /// Null once the exchange is over; an expiry may be queued by then.
   std::shared_ptr<Exchange *> m_Self = std::make_shared<Exchange *>(this);
   bool m_TimedOut = false;
+  bool m_Closes = false; ///< The answer says that the connection closes.
   /// Upstreams that may have begun to work on it or that refused it.
   std::vector<UpstreamPtr> m_Tried;
   unsigned m_Sent = 0;      ///< Attempts of which bytes may have left.
@@ -110,6 +118,8 @@
   TimePoint m_SentAt{};
   bool m_StrayAnswer = false; ///< Another request's answer came first.
   std::shared_ptr<bool> m_BodySent; ///< Set when the body went out whole.
+  std::string_view m_LostCause; ///< Of the last attempt that was lost.
+  NetError m_ReadError;         ///< That ended the last attempt's reading.
   std::optional<HeldAnswer> m_Held;
 };
 
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -155,6 +155,7 @@
     Over->m_In.append(Piece, 0, Got);
     if (!Error)
       continue;
+    m_ReadError = Error;
     // Only an orderly end completes a body that ends with the connection.
     Over->m_In.erase(0, Reader.feed(Over->m_In));
     if (Error == asio::error::eof)
@@ -208,7 +209,7 @@
     m_Counted.reset();
     co_return AttemptEnd::NotSent;
   }
-  AttemptEnd End = AttemptEnd::Lost;
+  AttemptEnd End = lost("send-failed");
   if (co_await sendRequest(To))
     End = co_await readAnswer(To);
   // The attempt is over; a sender of its body must not go on.
@@ -228,7 +229,8 @@
              {{"id", m_Marks.m_RequestId},
               {"upstream", To->m_Facts.m_Id},
               {"afterMs", std::to_string(toMillis(steadyNow() - m_SentAt))},
-              {"deadline", m_TimedOut ? "passed" : "open"},
+              {"cause", std::string(m_TimedOut ? "deadline" : m_LostCause)},
+              {"detail", m_ReadError ? m_ReadError.message() : ""},
               {"ejected", Ejected ? "yes" : "no"}});
   }
   co_return End;
@@ -238,12 +240,13 @@
   HttpReader Reader(HttpReader::Role::Responses, MostAnswerHead,
                     MostAnswerBody);
   m_StrayAnswer = false;
+  m_ReadError = {};
   for (;;) {
     Reader.next(m_Request->m_Head.m_Method == "HEAD");
     bool HasHead =
         co_await readUntil(Reader, [&Reader] { return Reader.headDone(); });
     if (!HasHead)
-      co_return AttemptEnd::Lost;
+      co_return lost("no-answer");
     if (Reader.head().m_Status / 100 == 1)
       continue;
     AnswerMarks Marks = m_State.m_Dialect.m_ReadAnswer(Reader.head());
@@ -255,14 +258,14 @@
       bool Whole =
           co_await readUntil(Reader, [&Reader] { return Reader.done(); });
       if (!Whole || !Reader.head().m_KeepAlive)
-        co_return AttemptEnd::Lost;
+        co_return lost("another-request's-answer");
       continue;
     }
     noteMarks(*To, Marks);
     unsigned Status = Reader.head().m_Status;
     if (success(Status) &&
         (!Marks.m_Signed || Marks.m_Encoded || Marks.m_RequestId.empty()))
-      co_return AttemptEnd::Lost;
+      co_return lost("unproved-success");
     if (Marks.m_NotRun) {
       (void)co_await readUntil(Reader, [&Reader] { return Reader.done(); });
       finish(*To, Reader);
@@ -277,7 +280,7 @@
     return Reader.done() || Reader.body().size() > HoldWhole;
   });
   if (!Settled)
-    co_return AttemptEnd::Lost;
+    co_return lost("broke-off");
   unsigned Status = Reader.head().m_Status;
   if (!Reader.done())
     co_return co_await stream(Reader);
@@ -301,13 +304,12 @@
   co_return AttemptEnd::Answered;
 }
 
-void Exchange::copyAnswerFields(HeadWriter &To, const HttpHead &From) const {
+void Exchange::copyAnswerFields(HeadWriter &To, const HttpHead &From) {
   for (const HttpField &Field : From.m_Fields)
     if (!isConnectionField(From, Field.m_Name) &&
         !m_State.m_Dialect.m_OwnAnswerField(Field.m_Name))
       To.field(Field.m_Name, Field.m_Value);
-  if (closesAfter())
-    To.field("Connection", "close");
+  endConnection(To);
 }
 
 awaitable<bool> Exchange::deliver(HeldAnswer Held) {
@@ -329,7 +331,7 @@
   record(success(Status) ? ErrorKind::None : ErrorKind::UpstreamLost, Status,
          success(Status) ? "" : "upstream-status");
   bool There = co_await m_From->send(m_Request, Head.finish() + Held.m_Body);
-  co_return There && !closesAfter();
+  co_return There && !m_Closes;
 }
 
 awaitable<AttemptEnd> Exchange::stream(HttpReader &Reader) {
