--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -193,6 +193,9 @@
                *m_BodySent && !m_StrayAnswer && !stopped();
   if (Clean)
     m_Pool.keep(To, m_Connection, steadyNow());
+  // From here on it may carry another request, which must not be cut when
+  // this one's caller leaves or its time is over.
+  m_Connection.reset();
 }
 
 awaitable<AttemptEnd> Exchange::attempt(UpstreamPtr To) {
@@ -213,7 +216,7 @@
   if (co_await sendRequest(To))
     End = co_await readAnswer(To);
   // The attempt is over; a sender of its body must not go on.
-  if (!*m_BodySent) {
+  if (m_Connection && !*m_BodySent) {
     NetError Ignored;
     m_Connection->m_Socket.close(Ignored);
   }
