--- /dev/null
+++ b/tests/unit/adapter_test.cpp
@@ -0,0 +1,134 @@
+/// \file
+/// Rows and headers of the users' platform, decoded.
+#define BOOST_TEST_DYN_LINK
+#include <boost/test/unit_test.hpp>
+
+#include "platform/platform.h"
+
+#include <rapidcheck.h>
+
+using namespace mustardspoke;
+using namespace mustardspoke::steer;
+
+namespace {
+
+const std::map<DomainName, RegionName> Regions{
+    {DomainName("z"), RegionName("r")}};
+
+UpstreamRow upstream(const std::string &Value) {
+  return platform::decoder().m_Upstream({"servers", "i-1", Value, 1, false},
+                                        Regions);
+}
+
+std::string registration(const std::string &Status,
+                         const std::string &More = "") {
+  return R"({"address":"10.0.0.1:80","info":{"service":"s","version":"v1",)"
+         R"("zone":"z","slots":9},"status":)" +
+         Status + More + "}";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Adapter)
+
+BOOST_AUTO_TEST_CASE(RegistrationIsDecoded) {
+  UpstreamRow Row = upstream(registration(
+      R"({"state":"draining","sequence":4,"warmupLeft":"1500ms"})",
+      R"(,"born":1700000000000)"));
+  BOOST_REQUIRE(Row.m_Facts.has_value());
+  BOOST_TEST(Row.m_Facts->m_Id == "i-1");
+  BOOST_TEST(Row.m_Facts->m_Leaving);
+  BOOST_TEST((Row.m_Facts->m_ColdFor == 1500ms));
+  BOOST_TEST(Row.m_Facts->m_BornMs == 1700000000000);
+  BOOST_TEST(Row.m_Facts->m_Region.str() == "r");
+}
+
+BOOST_AUTO_TEST_CASE(EntriesOfOtherWritersNameNoUpstream) {
+  for (const std::string &Value :
+       {std::string("\xff\x00garbage"), std::string("[]"), std::string("{}"),
+        registration(R"({"state":"odd"})"), registration(R"("ready")"),
+        registration(R"({"state":"ready"})", R"(,"born":"now")"),
+        std::string(R"({"address":7,"info":{"service":"s","zone":"z",)"
+                    R"("slots":9},"status":{"state":"ready"}})"),
+        std::string(R"({"address":"10.0.0.1:80","info":{"service":"s",)"
+                    R"("zone":"elsewhere","slots":9},)"
+                    R"("status":{"state":"ready"}})")}) {
+    UpstreamRow Row = upstream(Value);
+    BOOST_TEST(!Row.m_Facts.has_value(), Value);
+    BOOST_TEST(!Row.m_Fault.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnyTextIsDecodedOrRefused) {
+  rc::check("any text", [](const std::string &Value) {
+    UpstreamRow Row = upstream(Value);
+    RC_ASSERT(Row.m_Facts.has_value() != !Row.m_Fault.empty());
+    (void)platform::decoder().m_Operator({"op", "config", Value, 1, false});
+  });
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationIsDecoded) {
+  OperatorRow Row = platform::decoder().m_Operator(
+      {"op", "config",
+       R"({"version":"r7","limits":{"maxHeaderBytes":100,)"
+       R"("headerTimeout":"2s"},"listeners":[{"host":"h","rules":[)"
+       R"({"name":"n","type":"unsafe","targetLatency":"400ms","priority":1,)"
+       R"("sessionAffinity":true,"match":{"prefix":"/p/"},"action":)"
+       R"({"trafficSplit":[{"service":"a","weight":90},)"
+       R"({"service":"b","weight":10}],"timeout":"2s","maxAttempts":2,)"
+       R"("allowedRegions":["r"]}}]}],"clusters":[{"name":"a",)"
+       R"("healthPath":"/health","maxConnections":3,"warmup":"3s",)"
+       R"("warmupPerS":19.5}]})",
+       4, false});
+  BOOST_REQUIRE(Row.m_Routes != nullptr);
+  BOOST_TEST(Row.m_Routes->m_Version == 7);
+  BOOST_TEST((Row.m_Routes->m_Limits.m_HeaderTimeout == 2s));
+  const Route *One = Row.m_Routes->find("h", "/p/x");
+  BOOST_REQUIRE(One != nullptr);
+  BOOST_TEST(!One->idempotent());
+  BOOST_TEST(One->m_Parts.size() == 2);
+  BOOST_TEST(One->allows(RegionName("r")));
+  BOOST_TEST(!One->allows(RegionName("q")));
+  BOOST_TEST(Row.m_Routes->service(ServiceName("a"))->m_ColdPerSecond == 19.5);
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenConfigurationIsNamedNotAdopted) {
+  for (const char *Value :
+       {"{", R"({"version":"7"})", R"({"version":"r7","limits":{},)"
+        R"("listeners":[{"host":"h","rules":[{"name":"n","type":"odd"}]}],)"
+        R"("clusters":[]})"}) {
+    OperatorRow Row =
+        platform::decoder().m_Operator({"op", "config", Value, 4, false});
+    BOOST_TEST(Row.m_Routes == nullptr);
+    BOOST_TEST(!Row.m_Fault.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EvacuationNamesItsDomain) {
+  OperatorRow Row =
+      platform::decoder().m_Operator({"op", "evacuate/z", "{}", 4, false});
+  BOOST_TEST((Row.m_Kind == OperatorRow::Kind::Evacuation));
+  BOOST_TEST(Row.m_Evacuated.str() == "z");
+}
+
+BOOST_AUTO_TEST_CASE(AnswerHeadersAreDecoded) {
+  HttpHead Head;
+  Head.m_Status = 503;
+  Head.m_Fields = {{"X-Not-Executed", "1"},
+                   {"x-server-load", "3,2,9"},
+                   {"Keep-Alive", "timeout=10"},
+                   {"X-Warmup-Ms", "250"}};
+  AnswerMarks Marks = platform::dialect().m_ReadAnswer(Head);
+  BOOST_TEST(Marks.m_NotRun);
+  BOOST_TEST(!Marks.m_Signed);
+  BOOST_REQUIRE(Marks.m_Load.has_value());
+  BOOST_TEST(Marks.m_Load->m_Waiting == 2);
+  BOOST_TEST((Marks.m_KeepsIdleFor == 10s));
+  BOOST_TEST((Marks.m_ColdFor == 250ms));
+  Head.m_Fields = {{"X-Server-Load", "3,x,9"}};
+  BOOST_TEST(!platform::dialect().m_ReadAnswer(Head).m_Load.has_value());
+  Head.m_Status = 421;
+  BOOST_TEST(platform::dialect().m_ReadAnswer(Head).m_OtherUpstream);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/gateway_test.cpp
@@ -0,0 +1,230 @@
+/// \file
+/// HTTP reading, row bookkeeping, beats and settings of the gateway.
+#define BOOST_TEST_DYN_LINK
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/belief.h"
+#include "gateway/http_message.h"
+#include "gateway/settings.h"
+#include "inner/beat_codec.h"
+
+#include <rapidcheck.h>
+
+using namespace mustardspoke;
+using namespace mustardspoke::steer;
+
+namespace {
+
+HttpReader requests(std::uint32_t MostHead = 4096,
+                    std::uint64_t MostBody = 1 << 20) {
+  return {HttpReader::Role::Requests, MostHead, MostBody};
+}
+
+HttpReader responses() {
+  return {HttpReader::Role::Responses, 4096, 1 << 20};
+}
+
+/// \brief Feeds \p Text in pieces of \p Size. \returns What is left over.
+std::string feedPieces(HttpReader &To, const std::string &Text,
+                       std::size_t Size) {
+  std::string In;
+  for (std::size_t At = 0; At < Text.size(); At += Size) {
+    In += Text.substr(At, Size);
+    In.erase(0, To.feed(In));
+  }
+  return In;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpReading)
+
+BOOST_AUTO_TEST_CASE(APipelinedRequestIsLeftForTheNext) {
+  HttpReader Reader = requests();
+  std::string Two = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+                    "abcGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::size_t Used = Reader.feed(Two);
+  BOOST_TEST(Reader.done());
+  BOOST_TEST(Reader.body() == "abc");
+  Reader.next();
+  (void)Reader.feed(std::string_view(Two).substr(Used));
+  BOOST_TEST(Reader.done());
+  BOOST_TEST(Reader.head().m_Target == "/b");
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedBodyInPiecesOfEverySize) {
+  std::string Text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n4\r\nabcd\r\n3\r\nefg\r\n0\r\n\r\n";
+  for (std::size_t Size = 1; Size <= Text.size(); ++Size) {
+    HttpReader Reader = requests();
+    BOOST_TEST(feedPieces(Reader, Text, Size).empty());
+    BOOST_TEST(Reader.done());
+    BOOST_TEST(Reader.body() == "abcdefg");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SmuggledRequestsAreRefused) {
+  for (const char *Text :
+       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\nxx",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: "
+        "5\r\n\r\nabcd",
+        "GET /\x01 HTTP/1.1\r\n\r\n", "nonsense\r\n\r\n"}) {
+    HttpReader Reader = requests();
+    (void)Reader.feed(Text);
+    BOOST_TEST((Reader.fault() != HttpFault::None), Text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LimitsAreToldApart) {
+  HttpReader Head = requests(64);
+  (void)Head.feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
+  BOOST_TEST((Head.fault() == HttpFault::HeadTooLarge));
+  HttpReader Body = requests(4096, 10);
+  (void)Body.feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+  BOOST_TEST((Body.fault() == HttpFault::BodyTooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(BodyThatEndsWithTheConnection) {
+  HttpReader Reader = responses();
+  (void)Reader.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  BOOST_TEST(!Reader.done());
+  BOOST_TEST(Reader.endsWithConnection());
+  Reader.end();
+  BOOST_TEST(Reader.done());
+}
+
+BOOST_AUTO_TEST_CASE(BodyThatBreaksOffIsNotWhole) {
+  HttpReader Reader = responses();
+  (void)Reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  Reader.end();
+  BOOST_TEST((Reader.fault() == HttpFault::Truncated));
+}
+
+BOOST_AUTO_TEST_CASE(AnyBytesEndInARequestOrAFault) {
+  rc::check("any bytes", [](const std::string &Bytes) {
+    HttpReader Reader = requests(256, 256);
+    std::size_t Used = Reader.feed(Bytes);
+    RC_ASSERT(Used <= Bytes.size());
+  });
+}
+
+BOOST_AUTO_TEST_CASE(QueryValuesAreDecoded) {
+  BOOST_TEST(queryValue("/p?name=a%2Eb&zone=z", "name") == "a.b");
+  BOOST_TEST(queryValue("/p?name=a&zone=z", "zone") == "z");
+  BOOST_TEST(queryValue("/p", "zone").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(StoreRows)
+
+BOOST_AUTO_TEST_CASE(StaleReadingsChangeNothing) {
+  RowCache Cache;
+  BOOST_TEST(Cache.put({"t", "a", "new", 10, false}));
+  BOOST_TEST(!Cache.put({"t", "a", "old", 7, false}));
+  // A reading as of 8 does not show a row that was written at 10.
+  BOOST_TEST(Cache.missing({}, 8).empty());
+  BOOST_TEST(Cache.missing({}, 11).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ARemovedRowComesBackOnlyNewer) {
+  RowCache Cache;
+  (void)Cache.put({"t", "a", "v", 10, false});
+  Cache.remove("a", 12);
+  BOOST_TEST(!Cache.put({"t", "a", "v", 10, false}));
+  BOOST_TEST(Cache.put({"t", "a", "v", 13, false}));
+  BOOST_TEST(Cache.newest() == 13);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(InnerProtocol)
+
+BOOST_AUTO_TEST_CASE(BeatsSurviveTheWire) {
+  Beat From;
+  From.m_From.m_Vm = VmName("a");
+  From.m_From.m_Incarnation = 7;
+  From.m_From.m_Reading = true;
+  From.m_From.m_Lag = 30ms;
+  From.m_Loads = {{99, 2.5}};
+  From.m_Shares = {{1, 0.5, 0.25}};
+  From.m_NewestRows = {3, 4, 5};
+  auto To = decodeBeat(encodeBeat(From));
+  BOOST_REQUIRE(To.has_value());
+  BOOST_TEST(To->m_From.m_Vm.str() == "a");
+  BOOST_TEST(To->m_From.m_Reading);
+  BOOST_TEST((To->m_From.m_Lag == 30ms));
+  BOOST_TEST(To->m_Loads.front().m_Busy == 2.5);
+  BOOST_TEST(To->m_Shares.front().m_Busy == 0.25);
+  BOOST_TEST((To->m_NewestRows == From.m_NewestRows));
+}
+
+BOOST_AUTO_TEST_CASE(AnyBytesAreABeatOrNothing) {
+  rc::check("any bytes", [](const std::string &Bytes) {
+    (void)decodeBeat(Bytes);
+    (void)decodeRows(Bytes);
+    (void)decodeQuestion(Bytes);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(RowsKeepRemovalsAndTheirReach) {
+  CarriedRows From;
+  From.m_Rows = {{"t", "k", "v", 3, false}, {"t", "g", "", 4, true}};
+  From.m_WholeAsOf = {4, 0, 0};
+  auto To = decodeRows(encodeRows(From));
+  BOOST_REQUIRE(To.has_value());
+  BOOST_TEST(To->m_Rows[1].m_Removed);
+  BOOST_TEST((To->m_WholeAsOf == From.m_WholeAsOf));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GatewaySettingsFile)
+
+namespace {
+const std::string GoodSettings = R"({
+  "vm": "v1", "region": "r", "failureDomain": "z",
+  "failureDomains": {"z": "r"}, "store": "10.0.0.1:80",
+  "listen": {"ip": "10.0.0.2", "callers": "10.0.0.2:81",
+             "ready": "10.0.0.2:82", "lookups": "10.0.0.2:83",
+             "peerPorts": ["7000"]},
+  "seeds": ["10.0.0.9:84"],
+  "limits": {"stopGrace": "6s", "retrySlack": 56}})";
+} // namespace
+
+BOOST_AUTO_TEST_CASE(GoodSettingsAreRead) {
+  Faults Found;
+  GatewaySettings Read = readGatewaySettings(GoodSettings, Found);
+  BOOST_TEST(Found.empty(), faultLines(Found));
+  BOOST_TEST(Read.m_PeerAddress == "10.0.0.2:7000");
+  BOOST_TEST(Read.m_SeedIps.front() == "10.0.0.9");
+  BOOST_TEST((Read.m_Grace == 6s));
+  BOOST_TEST(Read.m_Retry.m_Slack == 56);
+}
+
+BOOST_AUTO_TEST_CASE(EveryFaultIsNamedWithItsPlace) {
+  Faults Found;
+  (void)readGatewaySettings(
+      R"({"vm": "v", "region": "r", "failureDomain": "y",
+          "failureDomains": {"z": "r"}, "store": "nowhere",
+          "listen": {}, "limits": {"stopGrace": "soon"}})",
+      Found);
+  std::string Lines = faultLines(Found);
+  for (const char *Place : {"store", "failureDomain", "listen.callers",
+                            "listen.peerPorts", "limits.stopGrace"})
+    BOOST_TEST(Lines.find(Place) != std::string::npos, Lines);
+  Faults Broken;
+  (void)readGatewaySettings("{", Broken);
+  BOOST_TEST(!Broken.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TimesHaveUnits) {
+  BOOST_TEST((durationOf("1500ms") == 1500ms));
+  BOOST_TEST((durationOf("2.5s") == 2500ms));
+  for (const char *Bad : {"", "5", "ms", "-1s", "1m"})
+    BOOST_TEST(!durationOf(Bad).has_value(), Bad);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
