Readers tell the version up to which they have everything

Change: tables have a reach (all known up to it), set by readings and feeds, carried in beats and answers; any reader that is ahead is asked. Ruled out: the reader's feed, and the way of datagrams (other followers had it at 22.06).

--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -42,7 +42,6 @@
   if (Known.m_Version >= Row.m_Version)
     return false;
   Known = Row;
-  m_Newest = std::max(m_Newest, Row.m_Version);
   return true;
 }
 
@@ -64,7 +63,6 @@
   Known.m_Removed = true;
   Known.m_Value.clear();
   Known.m_Version = std::max(Known.m_Version, At);
-  m_Newest = std::max(m_Newest, Known.m_Version);
 }
 
 Belief::Belief(GatewayState &State, UpstreamPool &Pool, RowStore &Store)
@@ -123,6 +121,7 @@
       apply(Row);
   }
   dropMissing(Table, All.m_Rows, All.m_Version);
+  Cache.reached(All.m_Version);
   std::uint64_t &From = m_FeedFrom[Table];
   From = std::max(From, All.m_Version);
   co_return true;
@@ -178,6 +177,7 @@
         if (m_Tables[Table].put(Row))
           apply(Row);
       }
+      m_Tables[Table].reached(News.m_Version);
       std::uint64_t &From = m_FeedFrom[Table];
       From = std::max(From, News.m_Version);
       Timer.expires_after(FeedEvery);
@@ -334,11 +334,11 @@
   return {Tables.m_Operators, Tables.m_Upstreams, Tables.m_Vms};
 }
 
-std::vector<std::uint64_t> Belief::newest() const {
+std::vector<std::uint64_t> Belief::reach() const {
   std::vector<std::uint64_t> Result;
   for (const std::string &Table : tableNames()) {
     auto Found = m_Tables.find(Table);
-    Result.push_back(Found == m_Tables.end() ? 0 : Found->second.newest());
+    Result.push_back(Found == m_Tables.end() ? 0 : Found->second.reach());
   }
   return Result;
 }
@@ -356,8 +356,8 @@
         Result.m_Rows.push_back(
             {Names[I], Key, Row.m_Value, Row.m_Version, Row.m_Removed});
   }
-  if (Whole)
-    Result.m_WholeAsOf = newest();
+  Result.m_Whole = Whole;
+  Result.m_Reach = reach();
   return Result;
 }
 
@@ -373,8 +373,11 @@
       apply(Row);
     ByTable[One.m_Table].push_back(std::move(Row));
   }
-  for (std::size_t I = 0; I < Names.size() && I < Rows.m_WholeAsOf.size(); ++I)
-    dropMissing(Names[I], ByTable[Names[I]], Rows.m_WholeAsOf[I]);
+  for (std::size_t I = 0; I < Names.size() && I < Rows.m_Reach.size(); ++I) {
+    if (Rows.m_Whole)
+      dropMissing(Names[I], ByTable[Names[I]], Rows.m_Reach[I]);
+    m_Tables[Names[I]].reached(Rows.m_Reach[I]);
+  }
 }
 
 awaitable<void> Belief::publish() {
--- a/src/gateway/belief.h
+++ b/src/gateway/belief.h
@@ -7,6 +7,7 @@
 #include "gateway/upstream_pool.h"
 #include "inner/beat_codec.h"
 
+#include <algorithm>
 #include <map>
 
 namespace mustardspoke::steer {
@@ -28,12 +29,17 @@
   [[nodiscard]] const std::map<std::string, StoreRow> &rows() const noexcept {
     return m_Rows;
   }
-  [[nodiscard]] std::uint64_t newest() const noexcept { return m_Newest; }
+  /// \brief Everything up to this version is known. Single rows may be newer:
+  /// the pages of a long reading are not of one moment.
+  [[nodiscard]] std::uint64_t reach() const noexcept { return m_Reach; }
+  void reached(std::uint64_t Version) noexcept {
+    m_Reach = std::max(m_Reach, Version);
+  }
 
 private:
   /// Removed keys stay, marked so, with the version of their removal.
   std::map<std::string, StoreRow> m_Rows;
-  std::uint64_t m_Newest = 0; ///< Of all rows ever put.
+  std::uint64_t m_Reach = 0;
 };
 
 /// \brief Follows the store's tables.
@@ -46,8 +52,8 @@
   /// \brief Reads every table in full, soon; after a doubt.
   void doubt(std::string_view Why);
 
-  /// \brief Newest row of each table: operators, upstreams, VMs.
-  [[nodiscard]] std::vector<std::uint64_t> newest() const;
+  /// \brief Reach of each table: operators, upstreams, VMs.
+  [[nodiscard]] std::vector<std::uint64_t> reach() const;
   /// \brief Rows for a peer that does not read the store.
   /// \param After By table; empty asks for all rows.
   [[nodiscard]] CarriedRows carried(std::span<const std::uint64_t> After) const;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -91,7 +91,7 @@
   Result.m_From.m_Leaving = m_State.m_Leaving;
   Result.m_From.m_Reading = m_Beliefs.reading();
   Result.m_RoutesVersion = m_State.m_Routes ? m_State.m_Routes->m_Version : 0;
-  Result.m_NewestRows = m_Beliefs.newest();
+  Result.m_Reach = m_Beliefs.reach();
   bool All = For == m_State.m_Settings.m_Here.m_Region ||
              m_State.m_Fleet.knownCount() <= SmallFleet;
   m_State.m_Upstreams.each([&](const Upstream &One) {
@@ -214,33 +214,27 @@
   TimePoint Now = steadyNow();
   if (m_Fetching || m_Beliefs.reading() || Now - m_FetchedAt < FetchEvery)
     return;
-  VmRun Run{From.m_From.m_Vm, From.m_From.m_Incarnation};
-  std::vector<std::uint64_t> Own = m_Beliefs.newest();
-  bool Reader = m_State.m_Fleet.isReader(From.m_From.m_Vm, Now);
-  if (Reader && m_Followed.m_Vm != Run.m_Vm &&
-      m_State.m_Fleet.isReader(m_Followed.m_Vm, Now))
-    return; // The one that is followed will do.
+  std::vector<std::uint64_t> Own = m_Beliefs.reach();
   bool Behind = false;
-  for (std::size_t I = 0; I < Own.size() && I < From.m_NewestRows.size(); ++I)
-    Behind = Behind || From.m_NewestRows[I] > Own[I];
+  for (std::size_t I = 0; I < Own.size() && I < From.m_Reach.size(); ++I)
+    Behind = Behind || From.m_Reach[I] > Own[I];
+  bool Reader = m_State.m_Fleet.isReader(From.m_From.m_Vm, Now);
   // A VM that can't read the store takes any peer's word on routes.
   bool NewRoutes = From.m_RoutesVersion >
                    (m_State.m_Routes ? m_State.m_Routes->m_Version : 0);
-  bool Whole = Run != m_Followed;
-  if (!(Reader && (Behind || Whole)) &&
-      !(NewRoutes && !m_Beliefs.storeReached()))
+  if (!(Reader && Behind) && !(NewRoutes && !m_Beliefs.storeReached()))
     return;
-  if (Reader)
-    m_Followed = Run;
-  if (Whole)
+  // A run of a peer that was not asked before may have missed removals.
+  Incarnation &Asked = m_Asked[From.m_From.m_Vm];
+  if (Asked != From.m_From.m_Incarnation)
     Own.clear();
+  Asked = From.m_From.m_Incarnation;
   m_Fetching = true;
   m_FetchedAt = Now;
   asio::co_spawn(
       m_State.m_Io,
-      [this, Address = From.m_From.m_PeerAddress, Own]() {
-        return fetchRows(Address, Own);
-      },
+      [this, Vm = From.m_From.m_Vm, Address = From.m_From.m_PeerAddress,
+       Own]() { return fetchRows(Vm, Address, Own); },
       asio::detached);
 }
 
@@ -280,7 +274,7 @@
   co_await asio::async_write(*Peer, asio::buffer(Bytes), noThrow(Ignored));
 }
 
-awaitable<void> PeerLink::fetchRows(std::string Address,
+awaitable<void> PeerLink::fetchRows(VmName Vm, std::string Address,
                                     std::vector<std::uint64_t> After) {
   Tcp::socket Socket(m_State.m_Io);
   CloseTimer Timer(m_State.m_Io);
@@ -304,7 +298,7 @@
   }
   m_Fetching = false;
   if (!Rows) {
-    m_Followed = {}; // The next reader's word is asked for whole.
+    m_Asked.erase(Vm); // It is asked for all rows next time.
     logEvent(LogLevel::Warning, "rows-from-peer-failed",
              {{"peer", Address},
               {"cause", Error ? Error.message() : "no readable answer"}});
--- a/src/inner/beat.capnp
+++ b/src/inner/beat.capnp
@@ -31,10 +31,10 @@
   # Peer addresses of other VMs, for one that knows nobody.
   others @11 :List(Text);
   shares @12 :List(Share);
-  # The sender reads the shared store itself; newest row that it has of each
-  # table.
+  # The sender reads the shared store itself; version up to which it has
+  # everything of each table.
   reading @13 :Bool;
-  newestRows @14 :List(UInt64);
+  reach @14 :List(UInt64);
   lagMicros @15 :UInt32; # mean lateness of the sender's timers
 }
 
@@ -54,7 +54,8 @@
 
 struct Rows {
   rows @0 :List(Row);
-  # For an answer with all rows: the version up to which the sender has each
-  # table; rows that are missing there are gone.
-  wholeAsOf @1 :List(UInt64);
+  # Version up to which the sender has everything of each table.
+  reach @1 :List(UInt64);
+  # All rows are here: what is missing up to the reach is gone.
+  whole @2 :Bool;
 }
--- a/src/inner/beat.capnp.h
+++ b/src/inner/beat.capnp.h
@@ -112,7 +112,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e006ac87694dd0fc, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e006ac87694dd0fc, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -341,8 +341,8 @@
 
   inline bool getReading() const;
 
-  inline bool hasNewestRows() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNewestRows() const;
+  inline bool hasReach() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getReach() const;
 
   inline  ::uint32_t getLagMicros() const;
 
@@ -449,13 +449,13 @@
   inline bool getReading();
   inline void setReading(bool value);
 
-  inline bool hasNewestRows();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNewestRows();
-  inline void setNewestRows( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setNewestRows(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNewestRows(unsigned int size);
-  inline void adoptNewestRows(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNewestRows();
+  inline bool hasReach();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getReach();
+  inline void setReach( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setReach(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initReach(unsigned int size);
+  inline void adoptReach(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownReach();
 
   inline  ::uint32_t getLagMicros();
   inline void setLagMicros( ::uint32_t value);
@@ -699,8 +699,10 @@
   inline bool hasRows() const;
   inline  ::capnp::List< ::mustardspoke::inner::Row,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
-  inline bool hasWholeAsOf() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWholeAsOf() const;
+  inline bool hasReach() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getReach() const;
+
+  inline bool getWhole() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -737,13 +739,16 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::Row,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::Row,  ::capnp::Kind::STRUCT>> disownRows();
 
-  inline bool hasWholeAsOf();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWholeAsOf();
-  inline void setWholeAsOf( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setWholeAsOf(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWholeAsOf(unsigned int size);
-  inline void adoptWholeAsOf(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWholeAsOf();
+  inline bool hasReach();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getReach();
+  inline void setReach( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setReach(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initReach(unsigned int size);
+  inline void adoptReach(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownReach();
+
+  inline bool getWhole();
+  inline void setWhole(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1203,40 +1208,40 @@
       ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Beat::Reader::hasNewestRows() const {
+inline bool Beat::Reader::hasReach() const {
   return !_reader.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasNewestRows() {
+inline bool Beat::Builder::hasReach() {
   return !_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Beat::Reader::getNewestRows() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Beat::Reader::getReach() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Beat::Builder::getNewestRows() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Beat::Builder::getReach() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setNewestRows( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void Beat::Builder::setReach( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline void Beat::Builder::setNewestRows(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void Beat::Builder::setReach(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Beat::Builder::initNewestRows(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Beat::Builder::initReach(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptNewestRows(
+inline void Beat::Builder::adoptReach(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Beat::Builder::disownNewestRows() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Beat::Builder::disownReach() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
@@ -1457,44 +1462,58 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Rows::Reader::hasWholeAsOf() const {
+inline bool Rows::Reader::hasReach() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Rows::Builder::hasWholeAsOf() {
+inline bool Rows::Builder::hasReach() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Rows::Reader::getWholeAsOf() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Rows::Reader::getReach() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Rows::Builder::getWholeAsOf() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Rows::Builder::getReach() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Rows::Builder::setWholeAsOf( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void Rows::Builder::setReach( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Rows::Builder::setWholeAsOf(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void Rows::Builder::setReach(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Rows::Builder::initWholeAsOf(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Rows::Builder::initReach(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Rows::Builder::adoptWholeAsOf(
+inline void Rows::Builder::adoptReach(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Rows::Builder::disownWholeAsOf() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Rows::Builder::disownReach() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Rows::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Rows::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Rows::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/inner/beat_codec.cpp
+++ b/src/inner/beat_codec.cpp
@@ -62,7 +62,7 @@
   To.m_From.m_Capacity = From.getCapacity();
   To.m_From.m_Reading = From.getReading();
   To.m_From.m_Lag = Duration(From.getLagMicros());
-  To.m_NewestRows = numbers(From.getNewestRows());
+  To.m_Reach = numbers(From.getReach());
   To.m_RoutesVersion = From.getRoutesVersion();
   for (auto Load : From.getLoads())
     To.m_Loads.push_back({Load.getUpstream(), Load.getBusyTenths() / BusyUnits});
@@ -84,7 +84,8 @@
                      Value.size()),
          Row.getVersion(), Row.getRemoved()});
   }
-  To.m_WholeAsOf = numbers(From.getWholeAsOf());
+  To.m_Reach = numbers(From.getReach());
+  To.m_Whole = From.getWhole();
   return To;
 }
 
@@ -123,8 +124,8 @@
   To.setCapacity(From.m_From.m_Capacity);
   To.setLagMicros(std::uint32_t(From.m_From.m_Lag.count()));
   To.setReading(From.m_From.m_Reading);
-  setNumbers(To.initNewestRows(unsigned(From.m_NewestRows.size())),
-             From.m_NewestRows);
+  setNumbers(To.initReach(unsigned(From.m_Reach.size())),
+             From.m_Reach);
   To.setRoutesVersion(From.m_RoutesVersion);
   auto Loads = To.initLoads(unsigned(From.m_Loads.size()));
   for (unsigned I = 0; I < Loads.size(); ++I) {
@@ -173,8 +174,8 @@
     Rows[I].setVersion(Row.m_Version);
     Rows[I].setRemoved(Row.m_Removed);
   }
-  setNumbers(To.initWholeAsOf(unsigned(From.m_WholeAsOf.size())),
-             From.m_WholeAsOf);
+  setNumbers(To.initReach(unsigned(From.m_Reach.size())), From.m_Reach);
+  To.setWhole(From.m_Whole);
   return packed(Message);
 }
 
--- a/src/inner/beat_codec.h
+++ b/src/inner/beat_codec.h
@@ -26,7 +26,8 @@
   std::vector<PeerLoad> m_Loads;
   std::vector<PeerShare> m_Shares;
   std::vector<std::string> m_Others; ///< Peer addresses that it knows.
-  std::vector<std::uint64_t> m_NewestRows; ///< By table, of the rows it has.
+  /// By table: version up to which the sender has everything.
+  std::vector<std::uint64_t> m_Reach;
 };
 
 [[nodiscard]] std::string encodeBeat(const Beat &From);
@@ -45,8 +46,9 @@
 /// \brief Rows that one VM passes to another.
 struct CarriedRows {
   std::vector<CarriedRow> m_Rows;
-  /// By table, if all rows are here: missing ones up to it are gone.
-  std::vector<std::uint64_t> m_WholeAsOf;
+  /// By table: version up to which the sender has everything.
+  std::vector<std::uint64_t> m_Reach;
+  bool m_Whole = false; ///< Rows that are missing up to the reach are gone.
 };
 
 /// \param After By table; empty asks for all rows.
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -135,7 +135,18 @@
   Cache.remove("a", 12);
   BOOST_TEST(!Cache.put({"t", "a", "v", 10, false}));
   BOOST_TEST(Cache.put({"t", "a", "v", 13, false}));
-  BOOST_TEST(Cache.newest() == 13);
+}
+
+// A day broke this way: the second page of a long reading was newer than a
+// change in the first page, and the VM's peers never asked for that change.
+BOOST_AUTO_TEST_CASE(ARowFromALaterPageDoesNotExtendTheReach) {
+  RowCache Cache;
+  (void)Cache.put({"t", "a", "v", 900, false});
+  (void)Cache.put({"t", "z", "later page", 1002, false});
+  Cache.reached(1000);
+  BOOST_TEST(Cache.reach() == 1000);
+  // What changed meanwhile is still to come.
+  BOOST_TEST(Cache.put({"t", "a", "leaving", 1001, false}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -150,7 +161,7 @@
   From.m_From.m_Lag = 30ms;
   From.m_Loads = {{99, 2.5}};
   From.m_Shares = {{1, 0.5, 0.25}};
-  From.m_NewestRows = {3, 4, 5};
+  From.m_Reach = {3, 4, 5};
   auto To = decodeBeat(encodeBeat(From));
   BOOST_REQUIRE(To.has_value());
   BOOST_TEST(To->m_From.m_Vm.str() == "a");
@@ -158,7 +169,7 @@
   BOOST_TEST((To->m_From.m_Lag == 30ms));
   BOOST_TEST(To->m_Loads.front().m_Busy == 2.5);
   BOOST_TEST(To->m_Shares.front().m_Busy == 0.25);
-  BOOST_TEST((To->m_NewestRows == From.m_NewestRows));
+  BOOST_TEST((To->m_Reach == From.m_Reach));
 }
 
 BOOST_AUTO_TEST_CASE(AnyBytesAreABeatOrNothing) {
@@ -172,11 +183,13 @@
 BOOST_AUTO_TEST_CASE(RowsKeepRemovalsAndTheirReach) {
   CarriedRows From;
   From.m_Rows = {{"t", "k", "v", 3, false}, {"t", "g", "", 4, true}};
-  From.m_WholeAsOf = {4, 0, 0};
+  From.m_Reach = {4, 0, 0};
+  From.m_Whole = true;
   auto To = decodeRows(encodeRows(From));
   BOOST_REQUIRE(To.has_value());
   BOOST_TEST(To->m_Rows[1].m_Removed);
-  BOOST_TEST((To->m_WholeAsOf == From.m_WholeAsOf));
+  BOOST_TEST(To->m_Whole);
+  BOOST_TEST((To->m_Reach == From.m_Reach));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
