A peer's word that an upstream is gone holds at once

Change: the reader says which removals are doubtful; others hold at once. Ruled out: the way of the rows (fetched every 0.3 s throughout).

--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -118,7 +118,7 @@
   for (StoreRow &Row : All.m_Rows) {
     Row.m_Table = Table;
     if (Cache.put(Row))
-      apply(Row);
+      apply(Row, storeJustBack());
   }
   dropMissing(Table, All.m_Rows, All.m_Version);
   Cache.reached(All.m_Version);
@@ -133,7 +133,7 @@
   RowCache &Cache = m_Tables[Table];
   for (const std::string &Key : Cache.missing(All, AsOf)) {
     Cache.remove(Key, AsOf);
-    apply({Table, Key, {}, AsOf, true});
+    apply({Table, Key, {}, AsOf, true}, m_Reads && storeJustBack());
   }
 }
 
@@ -175,7 +175,7 @@
       for (StoreRow &Row : News.m_Rows) {
         Row.m_Table = Table;
         if (m_Tables[Table].put(Row))
-          apply(Row);
+          apply(Row, storeJustBack());
       }
       m_Tables[Table].reached(News.m_Version);
       std::uint64_t &From = m_FeedFrom[Table];
@@ -194,12 +194,12 @@
   }
 }
 
-void Belief::apply(const StoreRow &Row) {
+void Belief::apply(const StoreRow &Row, bool Doubtful) {
   const StoreTables &Tables = m_State.m_Decoder.m_Tables;
   if (Row.m_Table == Tables.m_Operators)
     applyOperator(Row);
   else if (Row.m_Table == Tables.m_Upstreams)
-    applyUpstream(Row);
+    applyUpstream(Row, Doubtful);
   else if (Row.m_Table == Tables.m_Vms)
     applyVm(Row);
 }
@@ -244,21 +244,25 @@
   m_State.m_Upstreams.evacuate(std::move(Domains));
 }
 
-void Belief::applyUpstream(const StoreRow &Row) {
+bool Belief::storeJustBack() const {
+  return m_StoreLostAt != TimePoint() &&
+         (!m_StoreReached || steadyNow() - m_StoreBackAt < LapsedReturn);
+}
+
+void Belief::applyUpstream(const StoreRow &Row, bool Doubtful) {
   if (Row.m_Removed) {
     UpstreamPtr Known = m_State.m_Upstreams.find(Row.m_Key);
-    TimePoint Now = steadyNow();
-    bool JustBack = m_StoreLostAt != TimePoint() &&
-                    (!m_StoreReached || Now - m_StoreBackAt < LapsedReturn);
-    if (Known && Known->usable() && JustBack)
+    if (Known && Known->usable() && Doubtful) {
+      m_RemovedLater.insert(Row.m_Key);
       asio::co_spawn(
           m_State.m_Io,
           [this, Id = Row.m_Key, Version = Row.m_Version]() {
             return removeLater(Id, Version);
           },
           asio::detached);
-    else
+    } else {
       removeUpstream(Row.m_Key);
+    }
     return;
   }
   UpstreamRow What = m_State.m_Decoder.m_Upstream(Row, m_State.m_Settings.m_Regions);
@@ -299,6 +303,7 @@
   asio::steady_timer Timer(m_State.m_Io, LapsedReturn);
   NetError Ignored;
   co_await Timer.async_wait(noThrow(Ignored));
+  m_RemovedLater.erase(Id);
   const auto &Rows = m_Tables[m_State.m_Decoder.m_Tables.m_Upstreams].rows();
   auto Found = Rows.find(Id);
   if (Found != Rows.end() && Found->second.m_Removed &&
@@ -354,7 +359,8 @@
     for (const auto &[Key, Row] : Found->second.rows())
       if (Whole ? !Row.m_Removed : Row.m_Version > After[I])
         Result.m_Rows.push_back(
-            {Names[I], Key, Row.m_Value, Row.m_Version, Row.m_Removed});
+            {Names[I], Key, Row.m_Value, Row.m_Version, Row.m_Removed,
+             Row.m_Removed && m_RemovedLater.contains(Key)});
   }
   Result.m_Whole = Whole;
   Result.m_Reach = reach();
@@ -370,7 +376,7 @@
     if (std::find(Names.begin(), Names.end(), One.m_Table) == Names.end())
       continue;
     if (m_Tables[One.m_Table].put(Row))
-      apply(Row);
+      apply(Row, One.m_Doubtful);
     ByTable[One.m_Table].push_back(std::move(Row));
   }
   for (std::size_t I = 0; I < Names.size() && I < Rows.m_Reach.size(); ++I) {
--- a/src/gateway/belief.h
+++ b/src/gateway/belief.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace mustardspoke::steer {
 
@@ -77,18 +78,23 @@
   awaitable<bool> readTable(std::string Table);
   void noteStore(const StoreRead &Read, std::string_view Call);
 
-  void apply(const StoreRow &Row);
+  /// \param Doubtful The row is gone, but may soon be written again.
+  void apply(const StoreRow &Row, bool Doubtful);
   void applyOperator(const StoreRow &Row);
   void applyEvacuations();
-  void applyUpstream(const StoreRow &Row);
+  void applyUpstream(const StoreRow &Row, bool Doubtful);
   void applyVm(const StoreRow &Row);
   void removeUpstream(const std::string &Id);
+  /// \brief The store has just come back; registrations that lapsed while it
+  /// was away are about to be written again.
+  [[nodiscard]] bool storeJustBack() const;
   awaitable<void> removeLater(std::string Id, std::uint64_t Version);
 
   GatewayState &m_State;
   UpstreamPool &m_Pool;
   RowStore &m_Store;
   std::map<std::string, RowCache> m_Tables;
+  std::set<std::string> m_RemovedLater; ///< Upstreams whose removal waits.
   std::map<std::string, std::uint64_t> m_FeedFrom; ///< 0: read in full first.
   void dropMissing(const std::string &Table, const std::vector<StoreRow> &All,
                    std::uint64_t AsOf);
--- a/src/inner/beat.capnp
+++ b/src/inner/beat.capnp
@@ -50,6 +50,8 @@
   value @2 :Data;
   version @3 :UInt64;
   removed @4 :Bool;
+  # Removed while the store came back; the row may appear again soon.
+  doubtful @5 :Bool;
 }
 
 struct Rows {
--- a/src/inner/beat.capnp.h
+++ b/src/inner/beat.capnp.h
@@ -598,6 +598,8 @@
 
   inline bool getRemoved() const;
 
+  inline bool getDoubtful() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -653,6 +655,9 @@
   inline bool getRemoved();
   inline void setRemoved(bool value);
 
+  inline bool getDoubtful();
+  inline void setDoubtful(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1428,6 +1433,20 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Row::Reader::getDoubtful() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool Row::Builder::getDoubtful() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void Row::Builder::setDoubtful(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Rows::Reader::hasRows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/inner/beat_codec.cpp
+++ b/src/inner/beat_codec.cpp
@@ -82,7 +82,7 @@
         {text(Row.getTable()), text(Row.getKey()),
          std::string(reinterpret_cast<const char *>(Value.begin()),
                      Value.size()),
-         Row.getVersion(), Row.getRemoved()});
+         Row.getVersion(), Row.getRemoved(), Row.getDoubtful()});
   }
   To.m_Reach = numbers(From.getReach());
   To.m_Whole = From.getWhole();
@@ -173,6 +173,7 @@
     Rows[I].setValue(bytes(Row.m_Value));
     Rows[I].setVersion(Row.m_Version);
     Rows[I].setRemoved(Row.m_Removed);
+    Rows[I].setDoubtful(Row.m_Doubtful);
   }
   setNumbers(To.initReach(unsigned(From.m_Reach.size())), From.m_Reach);
   To.setWhole(From.m_Whole);
--- a/src/inner/beat_codec.h
+++ b/src/inner/beat_codec.h
@@ -41,6 +41,7 @@
   std::string m_Value;
   std::uint64_t m_Version = 0;
   bool m_Removed = false;
+  bool m_Doubtful = false; ///< Removed, but may soon appear again.
 };
 
 /// \brief Rows that one VM passes to another.
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -241,3 +241,92 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// \brief A store that answers reads until it is told to fail.
+class FakeStore final : public RowStore {
+public:
+  awaitable<StoreRead> read(std::string) override { co_return answer(); }
+  awaitable<StoreRead> changes(std::string, std::uint64_t, Duration) override {
+    co_return answer();
+  }
+  awaitable<StoreRead> write(StoreWrite) override { co_return answer(); }
+  bool m_Fails = false;
+
+private:
+  [[nodiscard]] StoreRead answer() const {
+    StoreRead Result;
+    Result.m_End = m_Fails ? StoreEnd::Unknown : StoreEnd::Done;
+    Result.m_Version = 1;
+    return Result;
+  }
+};
+
+UpstreamRow oneUpstream(const StoreRow &Row,
+                        const std::map<DomainName, RegionName> &) {
+  UpstreamRow Result;
+  Result.m_Facts.emplace();
+  Result.m_Facts->m_Id = Row.m_Key;
+  Result.m_Facts->m_Service = ServiceName("s");
+  return Result;
+}
+OperatorRow noOperator(const StoreRow &) { return {}; }
+
+struct BeliefRig {
+  BeliefRig()
+      : m_State(m_Io, GatewaySettings(), m_Dialect,
+                {noOperator, oneUpstream, {"op", "up", "vm"}}),
+        m_Pool(m_Io), m_Belief(m_State, m_Pool, m_Store) {
+    // The store was reached once and is lost since.
+    m_Belief.start();
+    m_Io.run_for(std::chrono::milliseconds(20));
+    m_Store.m_Fails = true;
+    m_Io.run_for(std::chrono::milliseconds(600));
+  }
+  void take(bool Removed, bool Doubtful, std::uint64_t Version) {
+    CarriedRows Rows;
+    Rows.m_Rows = {{"up", "u", "", Version, Removed, Doubtful}};
+    m_Belief.takeOver(Rows);
+  }
+  [[nodiscard]] bool known() const {
+    return m_State.m_Upstreams.find("u") != nullptr;
+  }
+
+  asio::io_context m_Io;
+  Dialect m_Dialect{};
+  FakeStore m_Store;
+  GatewayState m_State;
+  UpstreamPool m_Pool;
+  Belief m_Belief;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RowsFromPeers)
+
+// Days broke this way: a VM that had once lost the store took every removal
+// that a peer told it for one that may be taken back, and sent on for 2.2 s.
+BOOST_AUTO_TEST_CASE(APeersRemovalHoldsAtOnceThoughTheOwnStoreIsLost) {
+  BeliefRig R;
+  R.take(false, false, 10);
+  BOOST_TEST(R.known());
+  R.take(true, false, 11);
+  BOOST_TEST(!R.known());
+}
+
+BOOST_AUTO_TEST_CASE(ADoubtfulRemovalWaitsForTheRowToComeBack) {
+  BeliefRig R;
+  R.take(false, false, 10);
+  R.take(true, true, 11);
+  BOOST_TEST(R.known());
+  CarriedRows Told = R.m_Belief.carried(std::vector<std::uint64_t>{0, 0, 0});
+  bool Doubtful = false;
+  for (const CarriedRow &Row : Told.m_Rows)
+    Doubtful = Doubtful || (Row.m_Key == "u" && Row.m_Doubtful);
+  BOOST_TEST(Doubtful);
+  R.m_Io.run_for(std::chrono::milliseconds(2600));
+  BOOST_TEST(!R.known());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
