--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,6 +6,13 @@
 files=$(git ls-files '*.cpp' '*.h' | grep -v capnp)
 echo "$files" | xargs clang-format --dry-run --Werror
 echo "formatting: clean"
+# clang-tidy 14 knows coroutines, but doesn't say so to the standard library and
+# Asio, which then leave theirs out.
+coroutines="--extra-arg=-D__cpp_impl_coroutine=201902L
+  --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1
+  --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1"
+# shellcheck disable=SC2086
 git ls-files '*.cpp' | grep -v capnp |
-  xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null
+  xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet $coroutines \
+    2>/dev/null
 echo "clang-tidy: clean"
--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -74,10 +74,9 @@
     std::string m_Table;
     Duration m_Every;
   };
-  for (const Follow &One :
-       {Follow{Tables.m_Operators, ReadOperatorsEvery},
-        Follow{Tables.m_Upstreams, ReadUpstreamsEvery},
-        Follow{Tables.m_Vms, ReadVmsEvery}}) {
+  for (const Follow &One : {Follow{Tables.m_Operators, ReadOperatorsEvery},
+                            Follow{Tables.m_Upstreams, ReadUpstreamsEvery},
+                            Follow{Tables.m_Vms, ReadVmsEvery}}) {
     std::string Table = One.m_Table;
     Duration Every = One.m_Every;
     asio::co_spawn(
@@ -128,8 +127,7 @@
 }
 
 void Belief::dropMissing(const std::string &Table,
-                         const std::vector<StoreRow> &All,
-                         std::uint64_t AsOf) {
+                         const std::vector<StoreRow> &All, std::uint64_t AsOf) {
   RowCache &Cache = m_Tables[Table];
   for (const std::string &Key : Cache.missing(All, AsOf)) {
     Cache.remove(Key, AsOf);
@@ -265,7 +263,8 @@
     }
     return;
   }
-  UpstreamRow What = m_State.m_Decoder.m_Upstream(Row, m_State.m_Settings.m_Regions);
+  UpstreamRow What =
+      m_State.m_Decoder.m_Upstream(Row, m_State.m_Settings.m_Regions);
   if (!What.m_Facts) {
     logEvent(LogLevel::Warning, "registration-unreadable",
              {{"upstream", Row.m_Key}, {"cause", What.m_Fault}});
@@ -325,8 +324,7 @@
   }
   EntryVm One;
   One.m_Vm = Vm;
-  One.m_Incarnation =
-      std::uint64_t(Parsed.m_Value.integerOr("incarnation", 0));
+  One.m_Incarnation = std::uint64_t(Parsed.m_Value.integerOr("incarnation", 0));
   One.m_Region = RegionName(Parsed.m_Value.textOr("region", ""));
   One.m_Domain = DomainName(Parsed.m_Value.textOr("domain", ""));
   One.m_CallerAddress = Parsed.m_Value.textOr("callers", "");
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -110,11 +110,11 @@
   Signal m_Taken;
   Signal m_BodyChanged;
   Signal m_Turn; ///< A handler ended, or the first request changed.
-  asio::steady_timer m_Guard; ///< Limits on idling and on slow heads.
+  asio::steady_timer m_Guard;     ///< Limits on idling and on slow heads.
   std::uint64_t m_GuardRound = 0; ///< Tells an old expiry from the last one.
-  bool m_Gone = false;     ///< The caller closed, or the connection broke.
+  bool m_Gone = false; ///< The caller closed, or the connection broke.
   bool m_CloseAnnounced = false;
-  bool m_Ended = false;    ///< No further request will be answered.
+  bool m_Ended = false; ///< No further request will be answered.
 };
 
 } // namespace mustardspoke::steer
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -68,8 +68,7 @@
     co_return co_await refuse(ErrorKind::UnknownService, Duration::zero(),
                               "no-route");
   Duration Patience = m_Marks.m_Patience.value_or(m_Route->m_Timeout);
-  m_Deadline =
-      m_Request->m_ArrivedAt + std::min(Patience, m_Route->m_Timeout);
+  m_Deadline = m_Request->m_ArrivedAt + std::min(Patience, m_Route->m_Timeout);
   // If an earlier answer closes the connection, the caller sends this request
   // again; it must not have been started then.
   if (!m_Route->idempotent() && !co_await m_From->turn(m_Request))
@@ -151,8 +150,7 @@
 bool Exchange::mayGoOn(AttemptEnd End) {
   if (End != AttemptEnd::NotRun && !m_Route->idempotent())
     return false;
-  if (m_BodyLost || m_Sent >= m_Route->m_MaxAttempts ||
-      left() < LeastForRepeat)
+  if (m_BodyLost || m_Sent >= m_Route->m_MaxAttempts || left() < LeastForRepeat)
     return false;
   return m_State.m_Budgets[m_To].take(steadyNow(), m_State.m_Fleet.knownCount(),
                                       m_State.m_Settings.m_Retry);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -98,7 +98,7 @@
   CallerConnectionPtr m_From;
   PendingRequestPtr m_Request;
   CallerMarks m_Marks;
-  RouteTablePtr m_Routes; ///< Version that the request is served under.
+  RouteTablePtr m_Routes;         ///< Version that the request is served under.
   const Route *m_Route = nullptr; ///< Points into m_Routes.
   ServiceName m_To;
   TimePoint m_Deadline;
@@ -109,17 +109,17 @@
   bool m_Closes = false; ///< The answer says that the connection closes.
   /// Upstreams that may have begun to work on it or that refused it.
   std::vector<UpstreamPtr> m_Tried;
-  unsigned m_Sent = 0;      ///< Attempts of which bytes may have left.
+  unsigned m_Sent = 0;       ///< Attempts of which bytes may have left.
   bool m_MayHaveRun = false; ///< An attempt ended without a "not run".
-  bool m_BodyLost = false;  ///< Body bytes were dropped after sending.
-  double m_ChosenLoad = 0; ///< Estimated before the request was sent.
-  UpstreamConnectionPtr m_Connection; ///< Of the attempt under way.
+  bool m_BodyLost = false;   ///< Body bytes were dropped after sending.
+  double m_ChosenLoad = 0;   ///< Estimated before the request was sent.
+  UpstreamConnectionPtr m_Connection;     ///< Of the attempt under way.
   std::optional<InFlightCount> m_Counted; ///< While the upstream has it.
   TimePoint m_SentAt{};
-  bool m_StrayAnswer = false; ///< Another request's answer came first.
+  bool m_StrayAnswer = false;       ///< Another request's answer came first.
   std::shared_ptr<bool> m_BodySent; ///< Set when the body went out whole.
-  std::string_view m_LostCause; ///< Of the last attempt that was lost.
-  NetError m_ReadError;         ///< That ended the last attempt's reading.
+  std::string_view m_LostCause;     ///< Of the last attempt that was lost.
+  NetError m_ReadError;             ///< That ended the last attempt's reading.
   std::optional<HeldAnswer> m_Held;
 };
 
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -84,7 +84,8 @@
   NetError Error;
   One = co_await m_Pool.open(To, std::min(ConnectWithin, left()), Error);
   if (Error) {
-    bool Ejected = To->failed(steadyNow(), m_State.m_Settings.m_Choice.m_Judgement);
+    bool Ejected =
+        To->failed(steadyNow(), m_State.m_Settings.m_Choice.m_Judgement);
     logEvent(LogLevel::Warning, "upstream-unreachable",
              {{"id", m_Marks.m_RequestId},
               {"upstream", To->m_Facts.m_Id},
@@ -122,8 +123,7 @@
   m_SentAt = steadyNow();
   NetError Error;
   UpstreamConnectionPtr Over = m_Connection;
-  co_await asio::async_write(Over->m_Socket, asio::buffer(Out),
-                             noThrow(Error));
+  co_await asio::async_write(Over->m_Socket, asio::buffer(Out), noThrow(Error));
   if (Error)
     co_return false;
   if (!HasBody || (Small && !From.m_Chunked)) {
@@ -253,8 +253,8 @@
     if (Reader.head().m_Status / 100 == 1)
       continue;
     AnswerMarks Marks = m_State.m_Dialect.m_ReadAnswer(Reader.head());
-    bool Other = !Marks.m_RequestId.empty() &&
-                 Marks.m_RequestId != m_Marks.m_RequestId;
+    bool Other =
+        !Marks.m_RequestId.empty() && Marks.m_RequestId != m_Marks.m_RequestId;
     if (Other) {
       // The late answer to an earlier request; ours may follow it.
       m_StrayAnswer = true;
@@ -296,9 +296,8 @@
     co_return AttemptEnd::Failed;
   }
   if (success(Status)) {
-    Duration Work =
-        To->succeeded(steadyNow() - m_SentAt, m_ChosenLoad,
-                      m_State.m_Settings.m_Choice.m_Judgement);
+    Duration Work = To->succeeded(steadyNow() - m_SentAt, m_ChosenLoad,
+                                  m_State.m_Settings.m_Choice.m_Judgement);
     m_State.m_Upstreams.worked(To->m_Facts.m_Service, Work);
     double &Mean = m_State.m_AnswerBytes[m_Route->m_Name];
     Mean += (double(Whole.m_Body.size()) - Mean) * SizeBlend;
@@ -325,8 +324,8 @@
   }
   HeadWriter Head = HeadWriter::response(Status, Held.m_Head.m_Reason);
   copyAnswerFields(Head, Held.m_Head);
-  bool Bodiless = m_Request->m_Head.m_Method == "HEAD" || Status == 204 ||
-                  Status == 304;
+  bool Bodiless =
+      m_Request->m_Head.m_Method == "HEAD" || Status == 204 || Status == 304;
   if (Bodiless && Held.m_Head.m_Length)
     Head.field("Content-Length", *Held.m_Head.m_Length);
   else if (!Bodiless)
@@ -357,9 +356,8 @@
       co_return AttemptEnd::Aborted;
     if (Reader.done())
       break;
-    bool More = co_await readUntil(Reader, [&Reader] {
-      return Reader.done() || !Reader.body().empty();
-    });
+    bool More = co_await readUntil(
+        Reader, [&Reader] { return Reader.done() || !Reader.body().empty(); });
     if (!More) {
       record(ErrorKind::UpstreamLost, From.m_Status, "broke-off");
       co_return AttemptEnd::Aborted;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,8 +37,7 @@
   timespec Now{};
   ::clock_gettime(Clock, &Now);
   return std::chrono::duration_cast<Duration>(
-      std::chrono::seconds(Now.tv_sec) +
-      std::chrono::nanoseconds(Now.tv_nsec));
+      std::chrono::seconds(Now.tv_sec) + std::chrono::nanoseconds(Now.tv_nsec));
 }
 
 /// \brief Time that the machine was suspended since its boot.
@@ -65,10 +64,9 @@
 public:
   Gateway(std::string Path, GatewaySettings Settings,
           const GatewayAdapter &Adapter)
-      
-      : m_Path(std::move(Path)),
-        m_State(m_Io, std::move(Settings), Adapter.m_Dialect,
-                Adapter.m_Decoder),
+
+      : m_Path(std::move(Path)), m_State(m_Io, std::move(Settings),
+                                         Adapter.m_Dialect, Adapter.m_Decoder),
         m_Pool(m_Io),
         m_Store(Adapter.m_MakeStore(m_Io, m_State.m_Settings.m_StoreAddress)),
         m_Belief(m_State, m_Pool, *m_Store), m_Peers(m_State, m_Belief),
@@ -84,7 +82,8 @@
 private:
   using Local = std::string (Gateway::*)(const HttpHead &Of) const;
 
-  [[nodiscard]] bool listen(const std::string &Address, RequestHandler Serve);
+  [[nodiscard]] bool listen(const std::string &Address,
+                            const RequestHandler &Serve);
   awaitable<void> acceptLoop(std::shared_ptr<Tcp::acceptor> On,
                              RequestHandler Serve);
   /// \brief Answers with what a member function returns.
@@ -107,7 +106,6 @@
   Belief m_Belief;
   PeerLink m_Peers;
   asio::signal_set m_Signals;
-
 };
 
 std::string plainAnswer(unsigned Status, std::string_view Type,
@@ -138,9 +136,9 @@
   std::vector<std::string> Named = View.named(At, steadyNow());
   if (Named.empty())
     return plainAnswer(503, "text/plain", "no entry VM is ready\n");
-  return plainAnswer(200, "application/json",
-                     m_State.m_Dialect.m_LookupBody(
-                         Named, m_State.m_Settings.m_LookupLife));
+  return plainAnswer(
+      200, "application/json",
+      m_State.m_Dialect.m_LookupBody(Named, m_State.m_Settings.m_LookupLife));
 }
 
 std::string Gateway::metrics(const HttpHead & /*Of*/) const {
@@ -155,7 +153,8 @@
   return [this, Answer](CallerConnectionPtr From,
                         PendingRequestPtr Request) -> awaitable<bool> {
     if (Request->m_Fault != HttpFault::None || Request->m_HeadLate) {
-      co_await From->send(Request, plainAnswer(400, "text/plain", "unreadable\n"));
+      co_await From->send(Request,
+                          plainAnswer(400, "text/plain", "unreadable\n"));
       co_return false;
     }
     bool There = co_await From->send(Request, (this->*Answer)(Request->m_Head));
@@ -163,7 +162,7 @@
   };
 }
 
-bool Gateway::listen(const std::string &Address, RequestHandler Serve) {
+bool Gateway::listen(const std::string &Address, const RequestHandler &Serve) {
   auto At = endpointOf<Tcp>(Address);
   auto On = std::make_shared<Tcp::acceptor>(m_Io);
   NetError Error;
@@ -261,8 +260,8 @@
   NetError Ignored;
   for (;;) {
     TimePoint Now = steadyNow();
-    Duration TakesFor(std::int64_t(
-        double(m_State.m_Settings.m_Grace.count()) * TakingPart));
+    Duration TakesFor(
+        std::int64_t(double(m_State.m_Settings.m_Grace.count()) * TakingPart));
     if (m_State.m_Taking && Now - Began > TakesFor) {
       m_State.m_Taking = false;
       logEvent(LogLevel::Info, "stopped-taking",
@@ -336,12 +335,12 @@
              {{"address", Settings.m_PeerAddress}, {"cause", Error.message()}});
     return 2;
   }
-  logEvent(LogLevel::Info, "started",
-           {{"callers", Settings.m_CallerAddress},
-            {"store", Settings.m_StoreAddress},
-            {"peers", Settings.m_PeerAddress},
-            {"incarnation",
-             std::to_string(m_State.m_Fleet.m_Self.m_Incarnation)}});
+  logEvent(
+      LogLevel::Info, "started",
+      {{"callers", Settings.m_CallerAddress},
+       {"store", Settings.m_StoreAddress},
+       {"peers", Settings.m_PeerAddress},
+       {"incarnation", std::to_string(m_State.m_Fleet.m_Self.m_Incarnation)}});
   armSignals();
   m_Belief.start();
   asio::co_spawn(
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -63,11 +63,17 @@
 }
 
 bool isConnectionField(const HttpHead &Of, std::string_view Name) noexcept {
-  constexpr std::string_view Fixed[] = {
-      "Connection",         "Keep-Alive", "Proxy-Connection",
-      "Transfer-Encoding",  "TE",         "Trailer",
-      "Upgrade",            "Expect",     "Content-Length",
-      "Proxy-Authenticate", "Proxy-Authorization"};
+  constexpr std::string_view Fixed[] = {"Connection",
+                                        "Keep-Alive",
+                                        "Proxy-Connection",
+                                        "Transfer-Encoding",
+                                        "TE",
+                                        "Trailer",
+                                        "Upgrade",
+                                        "Expect",
+                                        "Content-Length",
+                                        "Proxy-Authenticate",
+                                        "Proxy-Authorization"};
   for (std::string_view One : Fixed)
     if (sameName(Name, One))
       return true;
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -23,12 +23,12 @@
 
 /// \brief Start line and fields of a message.
 struct HttpHead {
-  unsigned m_Minor = 1;   ///< Of the version "HTTP/1.x".
-  std::string m_Method;   ///< Requests only.
-  std::string m_Target;   ///< Requests only; path and query.
-  unsigned m_Status = 0;  ///< Responses only.
-  std::string m_Reason;   ///< Responses only.
-  std::vector<HttpField> m_Fields; ///< In the order of arrival.
+  unsigned m_Minor = 1;                  ///< Of the version "HTTP/1.x".
+  std::string m_Method;                  ///< Requests only.
+  std::string m_Target;                  ///< Requests only; path and query.
+  unsigned m_Status = 0;                 ///< Responses only.
+  std::string m_Reason;                  ///< Responses only.
+  std::vector<HttpField> m_Fields;       ///< In the order of arrival.
   std::optional<std::uint64_t> m_Length; ///< Of the body, if stated.
   bool m_Chunked = false;
   bool m_KeepAlive = true; ///< By version and Connection field.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -17,7 +17,7 @@
 constexpr Duration PerPeer = 5ms;
 /// Peers of other regions hear every so many beats in a large fleet.
 constexpr unsigned FarEvery = 2;
-constexpr std::size_t SmallFleet = 16; ///< All hear every beat.
+constexpr std::size_t SmallFleet = 16;      ///< All hear every beat.
 constexpr std::size_t MostDatagram = 60000; // bytes
 constexpr std::size_t MostRows = 8 << 20;   // bytes of a rows message
 constexpr std::size_t MostOthers = 8;       ///< Peer addresses in one beat.
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -19,8 +19,8 @@
   explicit UpstreamConnection(asio::io_context &Io) : m_Socket(Io) {}
 
   Tcp::socket m_Socket;
-  std::string m_In; ///< Read and not yet parsed.
-  bool m_Used = false; ///< Has carried a request before.
+  std::string m_In;      ///< Read and not yet parsed.
+  bool m_Used = false;   ///< Has carried a request before.
   Duration m_IdleLife{}; ///< May wait unused for so long.
   TimePoint m_IdleSince{};
 };
--- a/src/inner/beat_codec.cpp
+++ b/src/inner/beat_codec.cpp
@@ -7,6 +7,8 @@
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 
+#include <cmath>
+
 namespace mustardspoke::steer {
 namespace {
 
@@ -65,7 +67,8 @@
   To.m_Reach = numbers(From.getReach());
   To.m_RoutesVersion = From.getRoutesVersion();
   for (auto Load : From.getLoads())
-    To.m_Loads.push_back({Load.getUpstream(), Load.getBusyTenths() / BusyUnits});
+    To.m_Loads.push_back(
+        {Load.getUpstream(), Load.getBusyTenths() / BusyUnits});
   for (auto Share : From.getShares())
     To.m_Shares.push_back({Share.getService(), double(Share.getLocal()),
                            double(Share.getBusy())});
@@ -124,14 +127,13 @@
   To.setCapacity(From.m_From.m_Capacity);
   To.setLagMicros(std::uint32_t(From.m_From.m_Lag.count()));
   To.setReading(From.m_From.m_Reading);
-  setNumbers(To.initReach(unsigned(From.m_Reach.size())),
-             From.m_Reach);
+  setNumbers(To.initReach(unsigned(From.m_Reach.size())), From.m_Reach);
   To.setRoutesVersion(From.m_RoutesVersion);
   auto Loads = To.initLoads(unsigned(From.m_Loads.size()));
   for (unsigned I = 0; I < Loads.size(); ++I) {
     Loads[I].setUpstream(From.m_Loads[I].m_UpstreamHash);
     Loads[I].setBusyTenths(
-        std::uint16_t(From.m_Loads[I].m_Busy * BusyUnits + 0.5));
+        std::uint16_t(std::lround(From.m_Loads[I].m_Busy * BusyUnits)));
   }
   auto Shares = To.initShares(unsigned(From.m_Shares.size()));
   for (unsigned I = 0; I < Shares.size(); ++I) {
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -38,8 +38,8 @@
     Clock::time_point Now = Clock::now();
     std::chrono::duration<double> Passed = Now - m_FilledAt;
     m_FilledAt = Now;
-    m_Allowance = std::min(LinesAtOnce,
-                           m_Allowance + Passed.count() * LinesPerSecond);
+    m_Allowance =
+        std::min(LinesAtOnce, m_Allowance + Passed.count() * LinesPerSecond);
     if (m_Allowance < 1 || m_Pending.size() + Line.size() > MostPending) {
       ++m_LeftOut;
       flushPending();
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -16,6 +16,7 @@
   Tier m_Tier = Tier::Second;
   std::uint64_t m_Rank = 0; ///< Rendezvous weight; the highest goes first.
   bool m_Doubtful = false;  ///< Slow or cold: only if nothing else has room.
+  bool m_Ejected = false;   ///< Failed lately: left out.
 };
 
 /// \brief Mixes two hashes; the finalizer of MurmurHash3.
@@ -58,8 +59,8 @@
 
 bool slow(const Upstream &One, Duration Median, const UpstreamJudgement &By) {
   return Median > Duration::zero() && One.samples() >= By.m_SlowSamples &&
-         One.meanLatency() > Duration(std::int64_t(double(Median.count()) *
-                                                   By.m_SlowFactor));
+         One.meanLatency() >
+             Duration(std::int64_t(double(Median.count()) * By.m_SlowFactor));
 }
 
 bool wasTried(const Upstream &One, std::span<const Upstream *const> Tried) {
@@ -77,7 +78,8 @@
   double Load = One.load(Input.m_Now, Tuning.m_Judgement);
   double Slots = double(One.m_Facts.m_Slots);
   double Waits = std::max(0.0, Load + 1 - Slots) / Slots;
-  return One.path() + Duration(std::int64_t(double(Work.count()) * (1 + Waits)));
+  return One.path() +
+         Duration(std::int64_t(double(Work.count()) * (1 + Waits)));
 }
 
 bool hasFreeSlot(const Upstream &One, const ChoiceInput &Input,
@@ -110,6 +112,7 @@
   bool Large = Input.m_MeanAnswerBytes > Tuning.m_LargeAnswerBytes;
   bool Local = servedLocally(Input);
   std::vector<Ranked> Result;
+  std::size_t Ejected = 0;
   for (const UpstreamPtr &One : All) {
     if (!Table.usable(*One) || wasTried(*One, Input.m_Tried) ||
         !Input.m_Route.allows(One->m_Facts.m_Region))
@@ -118,11 +121,16 @@
     Next.m_One = One.get();
     Next.m_Tier = tierOf(*One, Here, Large, Local);
     Next.m_Rank = mix(Input.m_KeyHash ^ One->m_Hash);
-    Next.m_Doubtful = One->cold(Input.m_Now) ||
-                      One->ejected(Input.m_Now) ||
-                      slow(*One, Median, Tuning.m_Judgement);
+    Next.m_Doubtful =
+        One->cold(Input.m_Now) || slow(*One, Median, Tuning.m_Judgement);
+    Next.m_Ejected = One->ejected(Input.m_Now);
+    Ejected += Next.m_Ejected ? 1 : 0;
     Result.push_back(Next);
   }
+  // When many fail, leaving them out overloads the others.
+  if (double(Ejected) > double(Result.size()) * Tuning.m_MostEjected)
+    for (Ranked &One : Result)
+      One.m_Ejected = false;
   std::sort(Result.begin(), Result.end(),
             [](const Ranked &Left, const Ranked &Right) {
               if (Left.m_Tier != Right.m_Tier)
@@ -153,9 +161,8 @@
     return false;
   double Rate = Input.m_Service->m_ColdPerSecond * Tuning.m_ColdShare /
                 Tuning.m_ColdSenders;
-  double Passed = std::chrono::duration<double>(Input.m_Now -
-                                                To.m_ColdFilledAt)
-                      .count();
+  double Passed =
+      std::chrono::duration<double>(Input.m_Now - To.m_ColdFilledAt).count();
   To.m_ColdTokens = std::min(1.0, To.m_ColdTokens + Passed * Rate);
   To.m_ColdFilledAt = Input.m_Now;
   if (To.m_ColdTokens < 1)
@@ -177,7 +184,7 @@
   unsigned Holders = 0;
   Duration Soonest = 1s;
   for (const Ranked &One : Order) {
-    if (One.m_Doubtful)
+    if (One.m_Doubtful || One.m_Ejected)
       continue;
     if (++Holders > Tuning.m_Holders)
       break;
@@ -186,10 +193,11 @@
     Soonest = std::min(Soonest, expected(*One.m_One, Input, Tuning));
   }
   for (const Ranked &One : Order)
-    if (!One.m_Doubtful && hasAmpleRoom(*One.m_One, Input, Tuning))
+    if (!One.m_Doubtful && !One.m_Ejected &&
+        hasAmpleRoom(*One.m_One, Input, Tuning))
       return chosen(*One.m_One, Input, Tuning, Holders);
   for (const Ranked &One : Order)
-    if (One.m_Doubtful && !One.m_One->ejected(Input.m_Now) &&
+    if (One.m_Doubtful && !One.m_Ejected &&
         hasFreeSlot(*One.m_One, Input, Tuning) &&
         takeColdToken(*One.m_One, Input, Tuning))
       return chosen(*One.m_One, Input, Tuning, Holders);
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -26,6 +26,9 @@
   /// Load, in parts of its slots, up to which an upstream that does not hold
   /// a key takes it: its work on the key costs several times as much.
   double m_StrangerLoad = 0.2;
+  /// Part of a service's upstreams that may be ejected at once; with more,
+  /// none is left out.
+  double m_MostEjected = 0.3;
   /// Answers larger than this stay in the failure domain if they can: above
   /// it the transfer outweighs the loss of shared warm state.
   std::uint64_t m_LargeAnswerBytes = 16384;
@@ -45,9 +48,9 @@
   std::uint64_t m_KeyHash = 0;
   bool m_HasKey = false;
   TimePoint m_Now;
-  Duration m_Left{};     ///< Until the request's deadline.
-  Duration m_ToTarget{}; ///< Until its target latency; negative once late.
-  double m_LocalShare = 1; ///< Share of keys that the own region serves.
+  Duration m_Left{};        ///< Until the request's deadline.
+  Duration m_ToTarget{};    ///< Until its target latency; negative once late.
+  double m_LocalShare = 1;  ///< Share of keys that the own region serves.
   Duration m_ServiceWork{}; ///< Mean over the service; zero if unknown.
   std::uint64_t m_MeanAnswerBytes = 0;
   std::span<const Upstream *const> m_Tried; ///< Not to be chosen again.
@@ -59,8 +62,8 @@
 /// \brief Why an attempt has no upstream.
 enum class NoUpstream : std::uint8_t {
   None,
-  Unknown,  ///< No upstream of the service is known or allowed.
-  Full,     ///< Every one that may be used has its slots full.
+  Unknown, ///< No upstream of the service is known or allowed.
+  Full,    ///< Every one that may be used has its slots full.
 };
 
 struct Choice {
@@ -68,7 +71,7 @@
   NoUpstream m_Why = NoUpstream::None;
   /// When room is expected; for a refusal only.
   Duration m_ComeBack{};
-  double m_Load = 0;        ///< Estimated load of the chosen upstream.
+  double m_Load = 0; ///< Estimated load of the chosen upstream.
   unsigned m_Considered = 0;
 };
 
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -21,8 +21,8 @@
   bool m_Ready = false;        ///< Takes callers.
   bool m_Leaving = false;
   bool m_Reading = false; ///< Follows the shared store itself, and reaches it.
-  double m_Capacity = 1; ///< Relative share of callers that it can carry.
-  Duration m_Lag{};      ///< Mean lateness of its timers; grows with its work.
+  double m_Capacity = 1;  ///< Relative share of callers that it can carry.
+  Duration m_Lag{};       ///< Mean lateness of its timers; grows with its work.
 };
 
 struct FleetTuning {
@@ -69,8 +69,7 @@
 
   /// \brief Sum of the peers' requests at upstreams, by hash; silent
   /// peers count nothing.
-  [[nodiscard]] std::map<std::uint64_t, double>
-  peersBusy(TimePoint Now) const;
+  [[nodiscard]] std::map<std::uint64_t, double> peersBusy(TimePoint Now) const;
 
   /// \brief Other VMs that a message may be sent to.
   [[nodiscard]] std::vector<EntryVm> peers() const;
--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -65,14 +65,13 @@
       continue;
     }
     double Step = 0;
-    double Busy = Load.m_OwnSlots == 0
-                      ? 1
-                      : Load.m_OwnLoad / double(Load.m_OwnSlots);
+    double Busy =
+        Load.m_OwnSlots == 0 ? 1 : Load.m_OwnLoad / double(Load.m_OwnSlots);
     One.m_Busy = Busy;
     unsigned OtherSlots = Load.m_AllSlots - Load.m_OwnSlots;
-    double There = OtherSlots == 0 ? 1
-                                   : (Load.m_AllLoad - Load.m_OwnLoad) /
-                                         double(OtherSlots);
+    double There = OtherSlots == 0
+                       ? 1
+                       : (Load.m_AllLoad - Load.m_OwnLoad) / double(OtherSlots);
     if (OtherSlots > 0 && One.m_FarBusy)
       There = *One.m_FarBusy;
     if (Busy > Tuning.m_Busy && Busy > There + Tuning.m_Margin)
--- a/src/steer/upstream.cpp
+++ b/src/steer/upstream.cpp
@@ -19,8 +19,7 @@
   m_LastEjection = Duration::zero();
   double Waits = std::max(1.0, LoadBefore / double(m_Facts.m_Slots));
   double Path = double(m_Path.count());
-  double Work =
-      Path + std::max(0.0, double(Took.count()) - Path) / Waits;
+  double Work = Path + std::max(0.0, double(Took.count()) - Path) / Waits;
   double Mean = double(m_MeanLatency.count());
   if (m_Samples++ == 0)
     Mean = Work;
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -51,15 +51,16 @@
   unsigned m_SlowSamples = 4; ///< Needed before the mean is trusted.
   /// Failures in a row that eject an upstream.
   unsigned m_EjectAfter = 2;
-  Duration m_EjectFor = 700ms;  ///< First ejection; doubles up to the most.
+  Duration m_EjectFor = 700ms; ///< First ejection; doubles up to the most.
   Duration m_EjectMost = 5600ms;
   /// A share of failed requests above this also ejects.
   double m_EjectShare = 0.4;
 };
 
 /// \brief Belief about one upstream; shared by the table and its exchanges.
-class Upstream : public boost::intrusive_ref_counter<
-                     Upstream, boost::thread_unsafe_counter> {
+class Upstream
+    : public boost::intrusive_ref_counter<Upstream,
+                                          boost::thread_unsafe_counter> {
 public:
   explicit Upstream(UpstreamFacts From) : m_Facts(std::move(From)) {}
 
--- a/src/steer/upstream_table.cpp
+++ b/src/steer/upstream_table.cpp
@@ -74,8 +74,8 @@
   Duration &Mean = m_MeanWork[Of];
   Mean = Mean == Duration::zero()
              ? Work
-             : Mean + Duration(std::int64_t(double((Work - Mean).count()) *
-                                            Blend));
+             : Mean + Duration(
+                          std::int64_t(double((Work - Mean).count()) * Blend));
 }
 
 Duration UpstreamTable::meanWork(const ServiceName &Of) const {
--- a/tests/unit/adapter_test.cpp
+++ b/tests/unit/adapter_test.cpp
@@ -32,9 +32,9 @@
 BOOST_AUTO_TEST_SUITE(Adapter)
 
 BOOST_AUTO_TEST_CASE(RegistrationIsDecoded) {
-  UpstreamRow Row = upstream(registration(
-      R"({"state":"draining","sequence":4,"warmupLeft":"1500ms"})",
-      R"(,"born":1700000000000)"));
+  UpstreamRow Row = upstream(
+      registration(R"({"state":"draining","sequence":4,"warmupLeft":"1500ms"})",
+                   R"(,"born":1700000000000)"));
   BOOST_REQUIRE(Row.m_Facts.has_value());
   BOOST_TEST(Row.m_Facts->m_Id == "i-1");
   BOOST_TEST(Row.m_Facts->m_Leaving);
@@ -45,7 +45,7 @@
 
 BOOST_AUTO_TEST_CASE(EntriesOfOtherWritersNameNoUpstream) {
   for (const std::string &Value :
-       {std::string("\xff\x00garbage"), std::string("[]"), std::string("{}"),
+       {std::string("\xff garbage"), std::string("[]"), std::string("{}"),
         registration(R"({"state":"odd"})"), registration(R"("ready")"),
         registration(R"({"state":"ready"})", R"(,"born":"now")"),
         std::string(R"({"address":7,"info":{"service":"s","zone":"z",)"
@@ -94,7 +94,8 @@
 
 BOOST_AUTO_TEST_CASE(ABrokenConfigurationIsNamedNotAdopted) {
   for (const char *Value :
-       {"{", R"({"version":"7"})", R"({"version":"r7","limits":{},)"
+       {"{", R"({"version":"7"})",
+        R"({"version":"r7","limits":{},)"
         R"("listeners":[{"host":"h","rules":[{"name":"n","type":"odd"}]}],)"
         R"("clusters":[]})"}) {
     OperatorRow Row =
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -5,8 +5,8 @@
 
 #include "config/config.h"
 #include "inner/inner.h"
-#include "tables/tables.h"
 #include "support/deployments.h"
+#include "tables/tables.h"
 
 #include <capnp/message.h>
 #include <rapidcheck.h>
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -20,9 +20,7 @@
 /// No case takes longer; one that would hang fails instead.
 constexpr auto Patience = std::chrono::seconds(10);
 
-Tcp::endpoint loopback() {
-  return {asio::ip::make_address("127.0.0.1"), 0};
-}
+Tcp::endpoint loopback() { return {asio::ip::make_address("127.0.0.1"), 0}; }
 
 awaitable<void> sleepFor(asio::io_context &Io, Duration Span) {
   asio::steady_timer Timer(Io, Span);
@@ -94,7 +92,8 @@
       Route One;
       One.m_Name = Name;
       One.m_Prefix = "/" + std::string(Name) + "/";
-      One.m_Repeat = One.m_Name == "safe" ? RepeatRule::Safe : RepeatRule::Unsafe;
+      One.m_Repeat =
+          One.m_Name == "safe" ? RepeatRule::Safe : RepeatRule::Unsafe;
       One.m_TargetLatency = 1s;
       One.m_Timeout = 3s;
       One.m_MaxAttempts = 2;
@@ -110,7 +109,7 @@
   }
 
   /// \brief Adds an upstream; every connection runs \p Serve.
-  void upstream(const std::string &Id, Script Serve) {
+  void upstream(const std::string &Id, const Script &Serve) {
     m_Upstreams.emplace_back(m_Io, loopback());
     Tcp::acceptor &On = m_Upstreams.back();
     UpstreamFacts Facts;
@@ -126,7 +125,7 @@
 
   /// \brief Sends \p Text and reads until \p Answers answers have come.
   /// \param LeaveAfter Closes then, if set.
-  void caller(std::string Text, std::size_t Answers,
+  void caller(const std::string &Text, std::size_t Answers,
               std::vector<HttpReply> &Into,
               std::optional<Duration> LeaveAfter = std::nullopt) {
     ++m_Open;
@@ -157,11 +156,12 @@
       Tcp::socket One = co_await m_Callers.async_accept(noThrow(Error));
       if (Error)
         co_return;
-      CallerConnectionPtr Connection(new CallerConnection(
-          m_Io, std::move(One), CallerLimits(),
-          [this](CallerConnectionPtr From, PendingRequestPtr Request) {
-            return serve(From, Request);
-          }));
+      CallerConnectionPtr Connection(
+          new CallerConnection(m_Io, std::move(One), CallerLimits(),
+                               [this](const CallerConnectionPtr &From,
+                                      const PendingRequestPtr &Request) {
+                                 return serve(From, Request);
+                               }));
       Connection->start();
     }
   }
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -20,9 +20,7 @@
   return {HttpReader::Role::Requests, MostHead, MostBody};
 }
 
-HttpReader responses() {
-  return {HttpReader::Role::Responses, 4096, 1 << 20};
-}
+HttpReader responses() { return {HttpReader::Role::Responses, 4096, 1 << 20}; }
 
 /// \brief Feeds \p Text in pieces of \p Size. \returns What is left over.
 std::string feedPieces(HttpReader &To, const std::string &Text,
--- a/tests/unit/shares_test.cpp
+++ b/tests/unit/shares_test.cpp
@@ -4,8 +4,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/core.h"
-#include "tables/memory_table.h"
 #include "support/deployments.h"
+#include "tables/memory_table.h"
 
 #include <rapidcheck.h>
 
--- a/tests/unit/steer_test.cpp
+++ b/tests/unit/steer_test.cpp
@@ -65,7 +65,6 @@
     return chooseByKeyNearFirst(In, m_Table, Here, m_Tuning);
   }
 
-  void fill(UpstreamPtr One, unsigned InFlight) { One->m_InFlight = InFlight; }
   void fillAll(unsigned InFlight) {
     m_Table.each([InFlight](Upstream &One) { One.m_InFlight = InFlight; });
   }
@@ -141,8 +140,7 @@
   In.m_ServiceWork = 100ms;
   BOOST_TEST(bool(chooseByKeyNearFirst(In, W.m_Table, Large, W.m_Tuning).m_To));
   In.m_ToTarget = 100ms; // Too late for any wait.
-  BOOST_TEST(
-      !chooseByKeyNearFirst(In, W.m_Table, Large, W.m_Tuning).m_To);
+  BOOST_TEST(!chooseByKeyNearFirst(In, W.m_Table, Large, W.m_Tuning).m_To);
 }
 
 BOOST_AUTO_TEST_CASE(RequestsOnTheWayAreNotLoad) {
@@ -159,8 +157,7 @@
   World W;
   W.m_Table.evacuate({Large.m_Domain});
   for (int Key = 0; Key < 50; ++Key)
-    BOOST_TEST((W.choose(Key, Large).m_To->m_Facts.m_Domain ==
-                Small.m_Domain));
+    BOOST_TEST((W.choose(Key, Large).m_To->m_Facts.m_Domain == Small.m_Domain));
   W.m_Table.evacuate({});
   UpstreamFacts Facts = W.m_Table.find("s0")->m_Facts;
   Facts.m_Leaving = true;
@@ -175,8 +172,7 @@
   World W;
   W.m_Route.m_AllowedRegions = {Small.m_Region};
   for (int Key = 0; Key < 50; ++Key)
-    BOOST_TEST((W.choose(Key, Large).m_To->m_Facts.m_Region ==
-                Small.m_Region));
+    BOOST_TEST((W.choose(Key, Large).m_To->m_Facts.m_Region == Small.m_Region));
   W.fillAll(40);
   BOOST_TEST(!W.choose(1, Large).m_To);
 }
@@ -218,6 +214,25 @@
   BOOST_TEST(!One->ejected(Start + 1s));
 }
 
+BOOST_AUTO_TEST_CASE(ManyFailingUpstreamsAreNotLeftToTheOthers) {
+  World W;
+  auto Eject = [&W](const char *Id) {
+    for (int I = 0; I < 2; ++I)
+      (void)W.m_Table.find(Id)->failed(Start, W.m_Tuning.m_Judgement);
+  };
+  auto Uses = [&W](const char *Id) {
+    for (int Key = 0; Key < 200; ++Key)
+      if (W.choose(Key, Large).m_To->m_Facts.m_Id == Id)
+        return true;
+    return false;
+  };
+  Eject("l0");
+  BOOST_TEST(!Uses("l0"));
+  for (const char *Id : {"l1", "l2", "l3"})
+    Eject(Id);
+  BOOST_TEST(Uses("l0"));
+}
+
 BOOST_AUTO_TEST_CASE(SameIdBornAgainForgetsWhatWasMeasured) {
   World W;
   UpstreamPtr One = W.m_Table.find("l1");
