An old loss of the store does not make removals doubtful

Change: a VM that stops following the store forgets the loss; both changes are logged. Test: AnOldLossOfTheStoreDoesNotMakeRemovalsDoubtful.

--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -135,12 +135,25 @@
   }
 }
 
+void Belief::noteReads(bool Reads) {
+  if (Reads == m_Reads)
+    return;
+  m_Reads = Reads;
+  logEvent(LogLevel::Info, Reads ? "follows-store" : "follows-peers");
+  if (!Reads) {
+    // Whether the store is away is not known from here on; a loss of long ago
+    // must not make later removals doubtful.
+    m_StoreReached = false;
+    m_StoreLostAt = {};
+  }
+}
+
 awaitable<void> Belief::readAgain(std::string Table, Duration Every) {
   asio::steady_timer Timer(m_State.m_Io);
   NetError Ignored;
   while (!m_State.m_Leaving) {
     Duration Pause = FollowerCheck;
-    m_Reads = m_State.m_Fleet.mustRead(steadyNow());
+    noteReads(m_State.m_Fleet.mustRead(steadyNow()));
     if (m_Reads)
       Pause = co_await readTable(Table) ? Every : AfterFailure;
     // A VM that has to follow the store from now on must not sleep longer.
--- a/src/gateway/belief.h
+++ b/src/gateway/belief.h
@@ -76,6 +76,7 @@
   awaitable<void> followFeed(std::string Table);
   awaitable<void> readAgain(std::string Table, Duration Every);
   awaitable<bool> readTable(std::string Table);
+  void noteReads(bool Reads);
   void noteStore(const StoreRead &Read, std::string_view Call);
 
   /// \param Doubtful The row is gone, but may soon be written again.
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -251,12 +251,13 @@
   }
   awaitable<StoreRead> write(StoreWrite) override { co_return answer(); }
   bool m_Fails = false;
+  std::uint64_t m_Version = 1;
 
 private:
   [[nodiscard]] StoreRead answer() const {
     StoreRead Result;
     Result.m_End = m_Fails ? StoreEnd::Unknown : StoreEnd::Done;
-    Result.m_Version = 1;
+    Result.m_Version = m_Version;
     return Result;
   }
 };
@@ -313,6 +314,28 @@
   BOOST_TEST(!R.known());
 }
 
+// A day broke this way: a VM lost the store, left it to two readers, and
+// followed it again 19 s later; it took the store for one just back.
+BOOST_AUTO_TEST_CASE(AnOldLossOfTheStoreDoesNotMakeRemovalsDoubtful) {
+  BeliefRig R;
+  R.take(false, false, 10);
+  std::vector<std::string> Readers;
+  for (int I = 0; I < 40; ++I) {
+    EntryVm Reader;
+    Reader.m_Vm = VmName("reader" + std::to_string(I));
+    Reader.m_Reading = true;
+    Readers.push_back(Reader.m_Vm.str());
+    (void)R.m_State.m_Fleet.heard(Reader, steadyNow());
+  }
+  R.m_Io.run_for(std::chrono::milliseconds(500));
+  for (const std::string &Vm : Readers)
+    R.m_State.m_Fleet.part(VmName(Vm));
+  R.m_Store.m_Fails = false;
+  R.m_Store.m_Version = 20; // The row of version 10 is gone.
+  R.m_Io.run_for(std::chrono::milliseconds(1000));
+  BOOST_TEST(!R.known());
+}
+
 BOOST_AUTO_TEST_CASE(ADoubtfulRemovalWaitsForTheRowToComeBack) {
   BeliefRig R;
   R.take(false, false, 10);
