--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -160,10 +160,9 @@
     for (TimePoint Until = steadyNow() + Pause; steadyNow() < Until;) {
       Timer.expires_after(std::min(Pause, FollowerCheck));
       co_await Timer.async_wait(noThrow(Ignored));
-      if (m_Doubted[Table]) {
-        m_Doubted[Table] = false;
+      bool Changed = m_State.m_Fleet.mustRead(steadyNow()) != m_Reads;
+      if (std::exchange(m_Doubted[Table], false) || Changed)
         break;
-      }
     }
   }
 }
