--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -320,7 +320,7 @@
   BeliefRig R;
   R.take(false, false, 10);
   std::vector<std::string> Readers;
-  for (int I = 0; I < 40; ++I) {
+  for (int I = 0; I < 400; ++I) {
     EntryVm Reader;
     Reader.m_Vm = VmName("reader" + std::to_string(I));
     Reader.m_Reading = true;
