Each table's loop notices by itself that the VM follows the store again

Cause: the loops shared one flag, so that only the first woke early; the test of the old loss showed it. Control (loss kept) fails, the change passes.

--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -153,14 +153,15 @@
   NetError Ignored;
   while (!m_State.m_Leaving) {
     Duration Pause = FollowerCheck;
-    noteReads(m_State.m_Fleet.mustRead(steadyNow()));
-    if (m_Reads)
+    bool Reads = m_State.m_Fleet.mustRead(steadyNow());
+    noteReads(Reads);
+    if (Reads)
       Pause = co_await readTable(Table) ? Every : AfterFailure;
     // A VM that has to follow the store from now on must not sleep longer.
     for (TimePoint Until = steadyNow() + Pause; steadyNow() < Until;) {
       Timer.expires_after(std::min(Pause, FollowerCheck));
       co_await Timer.async_wait(noThrow(Ignored));
-      bool Changed = m_State.m_Fleet.mustRead(steadyNow()) != m_Reads;
+      bool Changed = m_State.m_Fleet.mustRead(steadyNow()) != Reads;
       if (std::exchange(m_Doubted[Table], false) || Changed)
         break;
     }
