--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -37,34 +37,6 @@
 
 } // namespace
 
-bool RowCache::put(const StoreRow &Row) {
-  StoreRow &Known = m_Rows[Row.m_Key];
-  if (Known.m_Version >= Row.m_Version)
-    return false;
-  Known = Row;
-  return true;
-}
-
-std::vector<std::string> RowCache::missing(const std::vector<StoreRow> &All,
-                                           std::uint64_t AsOf) const {
-  std::set<std::string_view> Present;
-  for (const StoreRow &Row : All)
-    Present.insert(Row.m_Key);
-  std::vector<std::string> Result;
-  for (const auto &[Key, Row] : m_Rows)
-    if (!Row.m_Removed && Row.m_Version <= AsOf && !Present.contains(Key))
-      Result.push_back(Key);
-  return Result;
-}
-
-void RowCache::remove(const std::string &Key, std::uint64_t At) {
-  StoreRow &Known = m_Rows[Key];
-  Known.m_Key = Key;
-  Known.m_Removed = true;
-  Known.m_Value.clear();
-  Known.m_Version = std::max(Known.m_Version, At);
-}
-
 Belief::Belief(GatewayState &State, UpstreamPool &Pool, RowStore &Store)
     : m_State(State), m_Pool(Pool), m_Store(Store) {}
 
@@ -342,7 +314,7 @@
   One.m_Domain = DomainName(Parsed.m_Value.textOr("domain", ""));
   One.m_CallerAddress = Parsed.m_Value.textOr("callers", "");
   One.m_PeerAddress = Parsed.m_Value.textOr("peers", "");
-  m_State.m_Fleet.meet(One, steadyNow());
+  m_State.m_Fleet.meet(One);
 }
 
 std::vector<std::string> Belief::tableNames() const {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -90,12 +90,10 @@
   for (const UpstreamPtr &One : m_Tried)
     Tried.push_back(One.get());
   ChoiceInput Input{*m_Route, m_Routes->service(m_To), m_To};
-  Input.m_HasKey = !m_Marks.m_Key.empty();
   // A request without a key is spread by its own identifier.
   Input.m_KeyHash =
-      stableHash(Input.m_HasKey ? m_Marks.m_Key : m_Marks.m_RequestId);
+      stableHash(m_Marks.m_Key.empty() ? m_Marks.m_RequestId : m_Marks.m_Key);
   Input.m_Now = steadyNow();
-  Input.m_Left = left();
   Input.m_ToTarget =
       m_Request->m_ArrivedAt + m_Route->m_TargetLatency - Input.m_Now;
   Input.m_ServiceWork = m_State.m_Upstreams.meanWork(m_To);
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -170,8 +170,6 @@
     To.report(*Marks.m_Load, Now);
   if (Marks.m_ColdFor && *Marks.m_ColdFor > Duration::zero())
     To.m_ColdUntil = std::max(To.m_ColdUntil, Now + *Marks.m_ColdFor);
-  if (Marks.m_NotRun)
-    To.refused(Now);
   if (Marks.m_OtherUpstream && !To.m_SaidLeaving) {
     To.m_SaidLeaving = true;
     m_Pool.drop(To);
--- /dev/null
+++ b/src/gateway/row_cache.cpp
@@ -0,0 +1,38 @@
+/// \file
+/// Which rows are news, and which are gone.
+#include "gateway/row_cache.h"
+
+#include <set>
+#include <string_view>
+
+namespace mustardspoke::steer {
+
+bool RowCache::put(const StoreRow &Row) {
+  StoreRow &Known = m_Rows[Row.m_Key];
+  if (Known.m_Version >= Row.m_Version)
+    return false;
+  Known = Row;
+  return true;
+}
+
+std::vector<std::string> RowCache::missing(const std::vector<StoreRow> &All,
+                                           std::uint64_t AsOf) const {
+  std::set<std::string_view> Present;
+  for (const StoreRow &Row : All)
+    Present.insert(Row.m_Key);
+  std::vector<std::string> Result;
+  for (const auto &[Key, Row] : m_Rows)
+    if (!Row.m_Removed && Row.m_Version <= AsOf && !Present.contains(Key))
+      Result.push_back(Key);
+  return Result;
+}
+
+void RowCache::remove(const std::string &Key, std::uint64_t At) {
+  StoreRow &Known = m_Rows[Key];
+  Known.m_Key = Key;
+  Known.m_Removed = true;
+  Known.m_Value.clear();
+  Known.m_Version = std::max(Known.m_Version, At);
+}
+
+} // namespace mustardspoke::steer
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -46,9 +46,7 @@
   const ServiceRules *m_Service = nullptr; ///< Null if not configured.
   ServiceName m_To;
   std::uint64_t m_KeyHash = 0;
-  bool m_HasKey = false;
   TimePoint m_Now;
-  Duration m_Left{};        ///< Until the request's deadline.
   Duration m_ToTarget{};    ///< Until its target latency; negative once late.
   double m_LocalShare = 1;  ///< Share of keys that the own region serves.
   Duration m_ServiceWork{}; ///< Mean over the service; zero if unknown.
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-void Fleet::meet(const EntryVm &One, TimePoint Now) {
+void Fleet::meet(const EntryVm &One) {
   if (One.m_Vm == m_Self.m_Vm)
     return;
   auto [At, New] = m_Peers.try_emplace(One.m_Vm);
@@ -20,7 +20,6 @@
   if (!New && Known.m_Vm.m_Incarnation >= One.m_Incarnation)
     return;
   Known.m_Vm = One;
-  Known.m_MetAt = Now;
   Known.m_HeardAt.reset();
   Known.m_Loads.clear();
 }
@@ -38,8 +37,6 @@
               Known.m_Vm.m_Incarnation != One.m_Incarnation ||
               Known.m_Vm.m_Ready != One.m_Ready ||
               Known.m_Vm.m_Leaving != One.m_Leaving;
-  if (New)
-    Known.m_MetAt = Now;
   Known.m_Vm = One;
   Known.m_HeardAt = Now;
   return News;
@@ -78,13 +75,6 @@
   return Found != m_Peers.end() && live(Found->second, Now);
 }
 
-unsigned Fleet::aliveCount(TimePoint Now) const {
-  unsigned Count = 1;
-  for (const auto &[Vm, One] : m_Peers)
-    Count += live(One, Now) ? 1U : 0U;
-  return Count;
-}
-
 bool Fleet::sendsCold(std::uint64_t UpstreamHash, unsigned Senders) const {
   auto RankOf = [UpstreamHash](const VmName &Vm) {
     return stableHash(Vm.str(), UpstreamHash);
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -29,8 +29,6 @@
   /// A VM not heard for this long is no longer named; three lost datagrams at
   /// the slowest rate of the exchange.
   Duration m_SilentAfter = 3s;
-  /// A meeting row whose VM was never heard is dropped after this.
-  Duration m_ForgetAfter = 60s;
   /// VMs of a region that follow the store and tell the others.
   unsigned m_Readers = 2;
   std::size_t m_MostNamed = 12; ///< Entry VMs in one look-up answer.
@@ -57,7 +55,7 @@
   EntryVm m_Self;
 
   /// \brief A VM named by the store or by a peer; not yet heard.
-  void meet(const EntryVm &One, TimePoint Now);
+  void meet(const EntryVm &One);
   /// \brief A VM's row is gone from the store.
   void part(const VmName &Vm);
   /// \brief A VM spoke for itself.
@@ -74,8 +72,6 @@
   /// \brief Other VMs that a message may be sent to.
   [[nodiscard]] std::vector<EntryVm> peers() const;
   [[nodiscard]] bool alive(const VmName &Vm, TimePoint Now) const;
-  /// \brief VMs that are alive, this one included.
-  [[nodiscard]] unsigned aliveCount(TimePoint Now) const;
   /// \brief VMs known at all, this one included; the divisor of shares, as a
   /// silent VM may still be serving.
   [[nodiscard]] unsigned knownCount() const noexcept {
@@ -101,7 +97,6 @@
 
   struct Peer {
     EntryVm m_Vm;
-    TimePoint m_MetAt;
     std::optional<TimePoint> m_HeardAt;
     std::vector<PeerLoad> m_Loads;
     TimePoint m_LoadsAt{};
--- a/src/steer/upstream.cpp
+++ b/src/steer/upstream.cpp
@@ -43,8 +43,6 @@
   return true;
 }
 
-void Upstream::refused(TimePoint Now) { m_Refused = Now; }
-
 void Upstream::connected(Duration Took) noexcept {
   m_Path = m_Path == Duration::zero() ? Took : std::min(m_Path, Took);
 }
@@ -72,7 +70,6 @@
 
 void Upstream::bornAgain() {
   m_LoadAt.reset();
-  m_Refused.reset();
   m_MeanLatency = Duration::zero();
   m_Samples = 0;
   m_FailuresInRow = 0;
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -84,8 +84,6 @@
   /// \brief Notes a failure that is the upstream's own.
   /// \returns Whether it is ejected by this.
   bool failed(TimePoint Now, const UpstreamJudgement &By);
-  /// \brief Notes that it refused the request unrun.
-  void refused(TimePoint Now);
 
   /// \brief Notes how long a new connection took: one round trip.
   void connected(Duration Took) noexcept;
@@ -112,12 +110,6 @@
   /// first.
   [[nodiscard]] Duration meanLatency() const noexcept { return m_MeanLatency; }
   [[nodiscard]] unsigned samples() const noexcept { return m_Samples; }
-  /// \brief Refused a request within the last \p Span.
-  [[nodiscard]] bool refusedWithin(TimePoint Now,
-                                   Duration Span) const noexcept {
-    return m_Refused && Now - *m_Refused < Span;
-  }
-
   /// \brief Forgets what was measured of an earlier run under the same name.
   void bornAgain();
 
@@ -129,7 +121,6 @@
   LoadReport m_Load;
   std::optional<TimePoint> m_LoadAt; ///< None before the first report.
   unsigned m_SentSince = 0;          ///< Own in-flight count at the report.
-  std::optional<TimePoint> m_Refused;
   Duration m_MeanLatency{};
   Duration m_Path{}; ///< Shortest round trip seen; zero before the first.
   unsigned m_Samples = 0;
--- a/tests/unit/steer_test.cpp
+++ b/tests/unit/steer_test.cpp
@@ -52,9 +52,7 @@
   [[nodiscard]] ChoiceInput input(int Key) const {
     ChoiceInput In{m_Route, &m_Rules, Stock};
     In.m_KeyHash = stableHash(std::to_string(Key));
-    In.m_HasKey = true;
     In.m_Now = Start;
-    In.m_Left = 2s;
     In.m_ToTarget = 400ms;
     return In;
   }
@@ -363,7 +361,7 @@
   New.m_Incarnation = 2;
   (void)Of.heard(New, Start);
   BOOST_TEST(!Of.heard(vm("b", "r"), Start));
-  Of.meet(vm("b", "r"), Start);
+  Of.meet(vm("b", "r"));
   BOOST_TEST(Of.alive(VmName("b"), Start));
 }
 
