--- a/tests/bench/capacity_main.cpp
+++ b/tests/bench/capacity_main.cpp
@@ -2,8 +2,8 @@
 /// Slopes for docs/CAPACITY.md. Each section runs at three or more sizes.
 #include "core/core.h"
 #include "inner/inner.h"
-#include "tables/tables.h"
 #include "support/deployments.h"
+#include "tables/tables.h"
 
 #include <capnp/serialize.h>
 
