A reader that falls silent is replaced within a second

Change: a reader counts as one only if it was heard within the last second. Test: ReadersThatFellSilentAreReplacedWithinASecond.

--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -100,7 +100,8 @@
   if (Found == m_Peers.end())
     return false;
   const Peer &One = Found->second;
-  return live(One, Now) && One.m_Vm.m_Reading && !One.m_Vm.m_Leaving &&
+  return One.m_HeardAt && Now - *One.m_HeardAt < m_Tuning.m_ReaderSilentAfter &&
+         One.m_Vm.m_Reading && !One.m_Vm.m_Leaving &&
          One.m_Vm.m_Region == m_Self.m_Region;
 }
 
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -31,6 +31,9 @@
   Duration m_SilentAfter = 3s;
   /// VMs of a region that follow the store and tell the others.
   unsigned m_Readers = 2;
+  /// A reader not heard for this long is replaced. A change must be in force
+  /// within 2 s at the strictest site; reading anew takes a fraction of one.
+  Duration m_ReaderSilentAfter = 1s;
   std::size_t m_MostNamed = 12; ///< Entry VMs in one look-up answer.
   std::size_t m_LeastNamed = 2; ///< Other regions fill up to this.
   /// Smaller VMs than this part of the largest near one are named only when
--- a/tests/unit/steer_test.cpp
+++ b/tests/unit/steer_test.cpp
@@ -399,6 +399,19 @@
   BOOST_TEST(Readers(Usual).size() == 4);
 }
 
+// A day broke this way: both readers of a region were killed at once, and the
+// others learned of the next configuration 2.2 s after it was accepted.
+BOOST_AUTO_TEST_CASE(ReadersThatFellSilentAreReplacedWithinASecond) {
+  Fleet Of(vm("self", "r"), {});
+  for (int I = 0; I < 100; ++I) {
+    EntryVm Reader = vm("reader" + std::to_string(I), "r");
+    Reader.m_Reading = true;
+    (void)Of.heard(Reader, Start);
+  }
+  BOOST_TEST(!Of.mustRead(Start + 500ms));
+  BOOST_TEST(Of.mustRead(Start + 1100ms));
+}
+
 BOOST_AUTO_TEST_CASE(FewVmsSendToAColdUpstream) {
   unsigned Senders = 0;
   for (int Self = 0; Self < 30; ++Self) {
