A look-up no longer copies the whole membership

Cause: found in the reading of the diff; each look-up copied all peers and their loads. Change: the VM's own state is set in place.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -80,7 +80,7 @@
   int run();
 
 private:
-  using Local = std::string (Gateway::*)(const HttpHead &Of) const;
+  using Local = std::string (Gateway::*)(const HttpHead &Of);
 
   [[nodiscard]] bool listen(const std::string &Address,
                             const RequestHandler &Serve);
@@ -88,10 +88,10 @@
                              RequestHandler Serve);
   /// \brief Answers with what a member function returns.
   RequestHandler local(Local Answer);
-  [[nodiscard]] std::string ready(const HttpHead &Of) const;
-  [[nodiscard]] std::string lookup(const HttpHead &Of) const;
-  [[nodiscard]] std::string metrics(const HttpHead &Of) const;
-  [[nodiscard]] std::string nothingHere(const HttpHead &Of) const;
+  [[nodiscard]] std::string ready(const HttpHead &Of);
+  [[nodiscard]] std::string lookup(const HttpHead &Of);
+  [[nodiscard]] std::string metrics(const HttpHead &Of);
+  [[nodiscard]] std::string nothingHere(const HttpHead &Of);
 
   void armSignals();
   void reload(std::string_view Why);
@@ -116,7 +116,7 @@
   return Head.finish() + Body;
 }
 
-std::string Gateway::ready(const HttpHead &Of) const {
+std::string Gateway::ready(const HttpHead &Of) {
   if (Of.m_Target.substr(0, Of.m_Target.find('?')) !=
       m_State.m_Dialect.m_ReadyPath)
     return nothingHere(Of);
@@ -124,13 +124,13 @@
                          : plainAnswer(503, "text/plain", "not ready\n");
 }
 
-std::string Gateway::lookup(const HttpHead &Of) const {
+std::string Gateway::lookup(const HttpHead &Of) {
   if (Of.m_Target.substr(0, Of.m_Target.find('?')) !=
       m_State.m_Dialect.m_LookupPath)
     return nothingHere(Of);
   LookupQuestion Question = m_State.m_Dialect.m_ReadLookup(Of.m_Target);
   Placement At{RegionName(Question.m_Region), DomainName(Question.m_Domain)};
-  Fleet View = m_State.m_Fleet;
+  Fleet &View = m_State.m_Fleet;
   View.m_Self.m_Ready = m_State.ready();
   View.m_Self.m_Leaving = m_State.m_Leaving;
   std::vector<std::string> Named = View.named(At, steadyNow());
@@ -141,11 +141,11 @@
       m_State.m_Dialect.m_LookupBody(Named, m_State.m_Settings.m_LookupLife));
 }
 
-std::string Gateway::metrics(const HttpHead & /*Of*/) const {
+std::string Gateway::metrics(const HttpHead & /*Of*/) {
   return plainAnswer(200, "text/plain", m_State.m_Metrics.exposition());
 }
 
-std::string Gateway::nothingHere(const HttpHead & /*Of*/) const {
+std::string Gateway::nothingHere(const HttpHead & /*Of*/) {
   return plainAnswer(404, "text/plain", "no such page\n");
 }
 
