A VM restarted with its clock set back is heard again

Cause: the incarnation of a run is the time of day at its start. A VM that started while its clock was ahead and again after it was set back had the lower number, and its peers ignored it for good: not named in look-ups, its load not counted. Change: a lower number is accepted once the known run has been silent for the time after which a VM counts as dead. An older run that still speaks beside a newer one is ignored as before. Test: RunWithAnEarlierClockIsHeardOnceTheLaterOneIsSilent; fails on the code before (2 checks).

--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -31,7 +31,7 @@
     return false;
   auto [At, New] = m_Peers.try_emplace(One.m_Vm);
   Peer &Known = At->second;
-  if (!New && Known.m_Vm.m_Incarnation > One.m_Incarnation)
+  if (!New && Known.m_Vm.m_Incarnation > One.m_Incarnation && live(Known, Now))
     return false;
   bool News = New || !live(Known, Now) ||
               Known.m_Vm.m_Incarnation != One.m_Incarnation ||
--- a/tests/support/rig.cpp
+++ b/tests/support/rig.cpp
@@ -2,17 +2,9 @@
 /// Starting, steering and reading the processes of a rig.
 #include "support/rig.h"
 
-#include <csignal>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <spawn.h>
 #include <stdexcept>
-#include <sys/wait.h>
-#include <thread>
-#include <unistd.h>
-
-extern char **environ; // NOLINT(readability-identifier-naming)
 
 namespace mustardspoke::test {
 namespace {
@@ -39,68 +31,6 @@
 
 } // namespace
 
-Process::Process(const std::vector<std::string> &Words,
-                 const std::string &LogPath) {
-  std::vector<char *> Arguments;
-  Arguments.reserve(Words.size() + 1);
-  for (const std::string &Word : Words)
-    Arguments.push_back(const_cast<char *>(Word.c_str()));
-  Arguments.push_back(nullptr);
-  posix_spawn_file_actions_t Actions;
-  posix_spawn_file_actions_init(&Actions);
-  posix_spawn_file_actions_addopen(&Actions, 1, LogPath.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
-  posix_spawn_file_actions_adddup2(&Actions, 1, 2);
-  int Failed = posix_spawn(&m_Pid, Arguments[0], &Actions, nullptr,
-                           Arguments.data(), environ);
-  posix_spawn_file_actions_destroy(&Actions);
-  if (Failed != 0)
-    throw std::runtime_error("can't start " + Words[0]);
-}
-
-Process::~Process() {
-  if (m_Status)
-    return;
-  signal(SIGCONT);
-  signal(SIGKILL);
-  waitpid(m_Pid, nullptr, 0);
-}
-
-void Process::signal(int Number) const { ::kill(m_Pid, Number); }
-
-std::optional<int> Process::waitExit(Duration Most) {
-  (void)eventually(
-      [this] {
-        int Status = 0;
-        if (!m_Status && waitpid(m_Pid, &Status, WNOHANG) == m_Pid)
-          m_Status = Status;
-        return m_Status.has_value();
-      },
-      Most);
-  return m_Status;
-}
-
-std::uint64_t Process::peakKib() const {
-  std::ifstream In("/proc/" + std::to_string(m_Pid) + "/status");
-  std::string Word;
-  while (In >> Word) {
-    std::uint64_t Value = 0;
-    if (Word == "VmHWM:" && In >> Value)
-      return Value;
-  }
-  return 0;
-}
-
-bool eventually(const std::function<bool()> &Done, Duration Most) {
-  auto End = std::chrono::steady_clock::now() + Most;
-  while (!Done()) {
-    if (std::chrono::steady_clock::now() >= End)
-      return false;
-    std::this_thread::sleep_for(20ms);
-  }
-  return true;
-}
-
 Rig::Rig(RigPlan Plan) : m_Plan(std::move(Plan)) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "rig-XXXXXX").string();
--- /dev/null
+++ b/tests/unit/fleet_members_test.cpp
@@ -0,0 +1,139 @@
+/// \file
+/// Membership of the fleet, look-ups and who follows the store.
+#define BOOST_TEST_DYN_LINK
+#include <boost/test/unit_test.hpp>
+
+#include "steer/steer.h"
+
+#include <set>
+
+namespace mustardspoke::steer {
+namespace {
+
+constexpr TimePoint Start{Duration(1'000'000'000)};
+
+EntryVm vm(const std::string &Name, const std::string &Region,
+           double Capacity = 1) {
+  EntryVm One;
+  One.m_Vm = VmName(Name);
+  One.m_Incarnation = 1;
+  One.m_Region = RegionName(Region);
+  One.m_Domain = DomainName(Region + "-a");
+  One.m_CallerAddress = Name;
+  One.m_Ready = true;
+  One.m_Capacity = Capacity;
+  return One;
+}
+
+const Placement At{RegionName("r"), DomainName("r-a")};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetMembers)
+
+BOOST_AUTO_TEST_CASE(DeadAndLeavingVmsAreNotNamed) {
+  Fleet Of(vm("a", "r"), {});
+  (void)Of.heard(vm("b", "r"), Start);
+  (void)Of.heard(vm("c", "r"), Start);
+  BOOST_TEST(Of.named(At, Start).size() == 3);
+  EntryVm Leaving = vm("c", "r");
+  Leaving.m_Leaving = true;
+  (void)Of.heard(Leaving, Start + 1s);
+  (void)Of.heard(vm("b", "r"), Start + 1s);
+  BOOST_TEST(Of.named(At, Start + 1s).size() == 2);
+  BOOST_TEST(Of.named(At, Start + 10s).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderRunCanNotReplaceANewerOne) {
+  Fleet Of(vm("a", "r"), {});
+  EntryVm New = vm("b", "r");
+  New.m_Incarnation = 2;
+  (void)Of.heard(New, Start);
+  BOOST_TEST(!Of.heard(vm("b", "r"), Start));
+  Of.meet(vm("b", "r"));
+  BOOST_TEST(Of.alive(VmName("b"), Start));
+}
+
+// The incarnation is the time of day at the start, and that clock may have been
+// set back between two runs.
+BOOST_AUTO_TEST_CASE(RunWithAnEarlierClockIsHeardOnceTheLaterOneIsSilent) {
+  Fleet Of(vm("a", "r"), {});
+  EntryVm Ahead = vm("b", "r");
+  Ahead.m_Incarnation = 2000;
+  (void)Of.heard(Ahead, Start);
+  EntryVm Behind = vm("b", "r");
+  Behind.m_Incarnation = 1000;
+  BOOST_TEST(!Of.heard(Behind, Start + 100ms));
+  BOOST_TEST(Of.heard(Behind, Start + 5s));
+  BOOST_TEST(Of.alive(VmName("b"), Start + 5s));
+}
+
+BOOST_AUTO_TEST_CASE(SmallVmsAreNamedOnlyWhenTheLargeOnesAreBusy) {
+  Fleet Of(vm("a", "r", 0.1), {});
+  for (const char *Name : {"b", "c"})
+    (void)Of.heard(vm(Name, "r", 0.5), Start);
+  BOOST_TEST(Of.named(At, Start).size() == 2);
+  EntryVm Busy = vm("b", "r", 0.5);
+  Busy.m_Lag = 100ms;
+  (void)Of.heard(Busy, Start);
+  BOOST_TEST(Of.named(At, Start).size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(TwoVmsOfARegionFollowTheStoreAndOthersStepIn) {
+  std::vector<std::string> Names{"a", "b", "c", "d", "e"};
+  auto Readers = [&](const std::set<std::string> &Failing) {
+    std::set<std::string> Result;
+    for (const std::string &Self : Names) {
+      Fleet Of(vm(Self, "r"), {});
+      for (const std::string &Other : Names)
+        if (Other != Self) {
+          EntryVm One = vm(Other, "r");
+          One.m_Reading = !Failing.contains(Other);
+          (void)Of.heard(One, Start);
+        }
+      if (Of.mustRead(Start))
+        Result.insert(Self);
+    }
+    return Result;
+  };
+  std::set<std::string> Usual = Readers({});
+  BOOST_TEST(Usual.size() == 2);
+  // Those that can't reach the store go on trying; two others follow it.
+  BOOST_TEST(Readers(Usual).size() == 4);
+}
+
+// A day broke this way: both readers of a region were killed at once, and the
+// others learned of the next configuration 2.2 s after it was accepted.
+BOOST_AUTO_TEST_CASE(ReadersThatFellSilentAreReplacedWithinASecond) {
+  Fleet Of(vm("self", "r"), {});
+  for (int I = 0; I < 100; ++I) {
+    EntryVm Reader = vm("reader" + std::to_string(I), "r");
+    Reader.m_Reading = true;
+    (void)Of.heard(Reader, Start);
+  }
+  BOOST_TEST(!Of.mustRead(Start + 500ms));
+  BOOST_TEST(Of.mustRead(Start + 1100ms));
+}
+
+BOOST_AUTO_TEST_CASE(FewVmsSendToAColdUpstream) {
+  unsigned Senders = 0;
+  for (int Self = 0; Self < 30; ++Self) {
+    Fleet Of(vm("vm" + std::to_string(Self), "r"), {});
+    for (int Other = 0; Other < 30; ++Other)
+      (void)Of.heard(vm("vm" + std::to_string(Other), "r"), Start);
+    Senders += Of.sendsCold(12345, 6) ? 1 : 0;
+  }
+  BOOST_TEST(Senders == 6);
+}
+
+BOOST_AUTO_TEST_CASE(SilentPeersLoadIsNotCounted) {
+  Fleet Of(vm("a", "r"), {});
+  (void)Of.heard(vm("b", "r"), Start);
+  Of.loads(VmName("b"), {{42, 3.5}}, Start);
+  BOOST_TEST(Of.peersBusy(Start + 100ms)[42] == 3.5);
+  BOOST_TEST(Of.peersBusy(Start + 5s).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace mustardspoke::steer
