--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -39,13 +39,15 @@
 }
 
 /// \brief The region's part of all slots against an even demand of all
-/// regions; a start from which the control goes on.
+/// regions; a start from which the control goes on. A region that is short of
+/// slots starts lower: work on keys that nobody holds yet would fill it at
+/// once, and its callers would be refused until the first answers.
 double startingShare(const RegionLoad &Of, const LocalShareTuning &Tuning) {
   if (Of.m_AllSlots == 0)
     return 1;
   double Share = double(Of.m_OwnSlots) / double(Of.m_AllSlots) *
                  double(Of.m_Regions.size());
-  return std::min(1.0, Share);
+  return Share < 1 ? Share * Tuning.m_ShortStart : 1.0;
 }
 
 } // namespace
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -20,6 +20,8 @@
   double m_Busy = 0.75;
   double m_Margin = 0.1;
   double m_Least = 0.05; ///< Keeps a region's own upstreams in use.
+  /// Of the share by slots with which a region short of slots starts.
+  double m_ShortStart = 0.75;
   /// Part of a service's requests that may overflow into regions that the
   /// shares don't give them. Together with ten steps it stays below the 0.15
   /// of requests that a region may move within two seconds.
