Keys come back only into a region with idle slots

Cause: shares rose until a region's slots were 0.75 busy. When its traffic then doubled within 6 s it was full at once: 0.60 of hou's requests ran at home at 16 s and 0.30 at 18 s. Change: keys leave above 0.75 busy as before and come back below 0.45; between them the share stands still, which also leaves warm keys where they are. Test: RisingWaveFindsRoomInItsRegion.

--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -106,7 +106,7 @@
       There = *One.m_FarBusy;
     if (Busy > Tuning.m_Busy && Busy > There + Tuning.m_Margin)
       Step = -Tuning.m_Step;
-    else if (Busy < Tuning.m_Busy || Busy < There)
+    else if (Busy < Tuning.m_Idle || Busy < There)
       Step = Tuning.m_Step;
     double Agreed = (One.m_Share + One.m_HeardSum) / (One.m_Heard + 1);
     One.m_Share = std::clamp(Agreed + Step, Tuning.m_Least, 1.0);
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -18,6 +18,9 @@
   /// Keys move out when the region's slots are busy above this, and busier
   /// than elsewhere by the margin.
   double m_Busy = 0.75;
+  /// Keys come back while less than this is busy. What lies between takes the
+  /// rise of the region's traffic while keys move out.
+  double m_Idle = 0.45;
   double m_Margin = 0.1;
   double m_Least = 0.05; ///< Keeps a region's own upstreams in use.
   /// Of the share by slots with which a region short of slots starts.
--- a/tests/unit/steer_test.cpp
+++ b/tests/unit/steer_test.cpp
@@ -276,6 +276,27 @@
   BOOST_TEST(Shares.of(Stock) == 0.4 * Tuning.m_ShortStart);
 }
 
+// A grown site broke this way: keys came back until the region was full, so
+// that the next rise of its traffic found no room and moved most of it at once.
+BOOST_AUTO_TEST_CASE(RisingWaveFindsRoomInItsRegion) {
+  World W;
+  LocalShares Shares;
+  LocalShareTuning Tuning;
+  Shares.update(W.m_Table, Small, Start, Tuning);
+  double First = Shares.of(Stock);
+  auto StepsAt = [&, Now = Start](unsigned InFlight, int Count) mutable {
+    for (const char *Id : {"s0", "s1"})
+      W.m_Table.find(Id)->m_InFlight = InFlight;
+    for (int I = 0; I < Count; ++I)
+      Shares.update(W.m_Table, Small, Now += Tuning.m_Every, Tuning);
+    return Shares.of(Stock);
+  };
+  // Two of four slots busy: no keys come in for a wave to double.
+  BOOST_TEST(StepsAt(2, 50) == First);
+  BOOST_TEST(StepsAt(1, 50) > First);
+  BOOST_TEST(StepsAt(4, 10) < 1.0);
+}
+
 // Both grown sites broke this way at the start of a calm day: all work was on
 // keys not held yet, a small region was full at once, and most of its requests
 // went elsewhere within two seconds.
