--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -33,6 +33,7 @@
   bool m_Repeatable = true;
   unsigned m_Vm = 0;
   TimePoint m_SentAt{};
+  Duration m_IdleBefore{}; ///< Of its connection; zero on a new one.
   TimePoint m_EndedAt{};
   Ending m_Ending = Ending::Open;
   unsigned m_Status = 0;
@@ -50,7 +51,8 @@
   std::vector<Harm> m_Paused;
   std::vector<TimePoint> m_Killed;
   std::vector<TimePoint> m_Stopped; ///< When the stop signal was sent.
-  std::vector<TimePoint> m_Ended;   ///< When its end was seen.
+  std::vector<TimePoint> m_Started;
+  std::vector<TimePoint> m_Ended; ///< When its end was seen.
 };
 
 /// \brief A change by the operator or an upstream that must be in force within
