Heartbeats of a large fleet go to a few peers, with word of the others

Change: in fleets over 16, a beat goes to peers drawn by chance, eight of the own region up to 100 VMs, falling to three, and one of another region, every 200 ms; it carries how long ago up to 32 others of the region were heard (4 bytes each), so that life is known without direct word. Rows come from any peer of the region that has newer ones. Load sums are raised to the whole region. Silence counts as death after 4 s there.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -11,13 +11,10 @@
 
 /// Beats of a small fleet; in-flight counts turn over in about this time.
 constexpr Duration FastestBeat = 100ms;
-constexpr Duration SlowestBeat = 600ms;
-/// Time between two datagrams to different peers, on average: it bounds the
-/// traffic of a VM in a large fleet.
-constexpr Duration PerPeer = 5ms;
-/// Peers of other regions hear every so many beats in a large fleet.
-constexpr unsigned FarEvery = 2;
-constexpr std::size_t SmallFleet = 16;      ///< All hear every beat.
+/// Beats of a fleet in which each goes to a few peers only; see FleetTuning.
+constexpr Duration SlowestBeat = 200ms;
+/// A small fleet's beats slow down with its size.
+constexpr Duration PerPeer = 8ms;
 constexpr std::size_t MostDatagram = 60000; // bytes
 constexpr std::size_t MostRows = 8 << 20;   // bytes of a rows message
 constexpr std::size_t MostOthers = 8;       ///< Peer addresses in one beat.
@@ -92,8 +89,9 @@
   Result.m_From.m_Reading = m_Beliefs.reading();
   Result.m_RoutesVersion = m_State.m_Routes ? m_State.m_Routes->m_Version : 0;
   Result.m_Reach = m_Beliefs.reach();
-  bool All = For == m_State.m_Settings.m_Here.m_Region ||
-             m_State.m_Fleet.knownCount() <= SmallFleet;
+  bool All =
+      For == m_State.m_Settings.m_Here.m_Region || m_State.m_Fleet.small();
+  Result.m_Ages = m_State.m_Fleet.ages(steadyNow(), m_Round);
   m_State.m_Upstreams.each([&](const Upstream &One) {
     if (One.m_InFlight > 0 && (All || One.m_Facts.m_Region == For))
       Result.m_Loads.push_back({One.m_Hash, One.busyHere()});
@@ -105,9 +103,10 @@
   return Result;
 }
 
-std::map<RegionName, std::string> PeerLink::encodedBeats() const {
+std::map<RegionName, std::string>
+PeerLink::encodedBeats(std::span<const EntryVm> To) const {
   std::map<RegionName, std::string> Result;
-  for (const EntryVm &One : m_State.m_Fleet.peers())
+  for (const EntryVm &One : To)
     if (std::string &Bytes = Result[One.m_Region]; Bytes.empty())
       Bytes = encodeBeat(ownBeat(One.m_Region));
   return Result;
@@ -124,8 +123,9 @@
 }
 
 void PeerLink::announce() {
-  auto Beats = encodedBeats();
-  for (const EntryVm &One : m_State.m_Fleet.peers())
+  std::vector<EntryVm> All = m_State.m_Fleet.peers();
+  auto Beats = encodedBeats(All);
+  for (const EntryVm &One : All)
     send(Beats[One.m_Region], One.m_PeerAddress);
 }
 
@@ -135,13 +135,11 @@
   const std::string &Own = m_State.m_Settings.m_PeerAddress;
   std::string Port = Own.substr(Own.rfind(':'));
   for (;;) {
-    std::vector<EntryVm> Peers = m_State.m_Fleet.peers();
+    std::vector<EntryVm> Peers = m_State.m_Fleet.audience(m_Round);
     const RegionName &Here = m_State.m_Settings.m_Here.m_Region;
-    auto Beats = encodedBeats();
-    bool All = Peers.size() < SmallFleet || m_Round % FarEvery == 0;
+    auto Beats = encodedBeats(Peers);
     for (const EntryVm &One : Peers)
-      if (All || One.m_Region == Here)
-        send(Beats[One.m_Region], One.m_PeerAddress);
+      send(Beats[One.m_Region], One.m_PeerAddress);
     // Without the store, seeds and whom they name are the only way to meet.
     if (!m_Beliefs.storeReached() && m_Round % 5 == 0) {
       Beat Mine = ownBeat(Here);
@@ -164,7 +162,8 @@
       One.m_PeersBusy = Found == Loads.end() ? 0 : Found->second;
     });
     m_State.m_Shares.update(m_State.m_Upstreams, m_State.m_Settings.m_Here, Now,
-                            m_State.m_Settings.m_LocalShare);
+                            m_State.m_Settings.m_LocalShare,
+                            !m_State.m_Fleet.small());
   }
 }
 
@@ -196,6 +195,8 @@
               {"leaving", From.m_From.m_Leaving ? "yes" : "no"}});
     send(encodeBeat(ownBeat(From.m_From.m_Region)), From.m_From.m_PeerAddress);
   }
+  for (const PeerAge &One : From.m_Ages)
+    m_State.m_Fleet.heardOf(One, Now);
   m_State.m_Fleet.loads(From.m_From.m_Vm, From.m_Loads, Now);
   bool Near = From.m_From.m_Region == m_State.m_Settings.m_Here.m_Region;
   for (const PeerShare &One : From.m_Shares)
@@ -218,11 +219,15 @@
   bool Behind = false;
   for (std::size_t I = 0; I < Own.size() && I < From.m_Reach.size(); ++I)
     Behind = Behind || From.m_Reach[I] > Own[I];
-  bool Reader = m_State.m_Fleet.isReader(From.m_From.m_Vm, Now);
+  // In a large fleet few hear of a change from a reader itself; the others
+  // have it from those.
+  bool Carries = From.m_From.m_Region == m_State.m_Settings.m_Here.m_Region &&
+                 (!m_State.m_Fleet.small() ||
+                  m_State.m_Fleet.isReader(From.m_From.m_Vm, Now));
   // A VM that can't read the store takes any peer's word on routes.
   bool NewRoutes = From.m_RoutesVersion >
                    (m_State.m_Routes ? m_State.m_Routes->m_Version : 0);
-  if (!(Reader && Behind) && !(NewRoutes && !m_Beliefs.storeReached()))
+  if (!(Carries && Behind) && !(NewRoutes && !m_Beliefs.storeReached()))
     return;
   // A run of a peer that was not asked before may have missed removals.
   Incarnation &Asked = m_Asked[From.m_From.m_Vm];
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -33,7 +33,8 @@
   /// \param For Peers of this region get it; loads of its upstreams only, if
   /// it is another region.
   [[nodiscard]] Beat ownBeat(const RegionName &For) const;
-  [[nodiscard]] std::map<RegionName, std::string> encodedBeats() const;
+  [[nodiscard]] std::map<RegionName, std::string>
+  encodedBeats(std::span<const EntryVm> To) const;
   [[nodiscard]] Duration period() const;
 
   GatewayState &m_State;
--- a/src/inner/beat.capnp
+++ b/src/inner/beat.capnp
@@ -36,6 +36,9 @@
   reading @13 :Bool;
   reach @14 :List(UInt64);
   lagMicros @15 :UInt32; # mean lateness of the sender's timers
+  # How long ago other VMs were heard: 20 bits of the name's hash, 4 of the
+  # incarnation, 8 of the age in tenths of a second.
+  ages @16 :List(UInt32);
 }
 
 # Asks for the rows of each table that changed after a version; the answer is
--- a/src/inner/beat.capnp.h
+++ b/src/inner/beat.capnp.h
@@ -67,7 +67,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dee438d6be3138e4, 4, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(dee438d6be3138e4, 4, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -346,6 +346,9 @@
 
   inline  ::uint32_t getLagMicros() const;
 
+  inline bool hasAges() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getAges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -460,6 +463,14 @@
   inline  ::uint32_t getLagMicros();
   inline void setLagMicros( ::uint32_t value);
 
+  inline bool hasAges();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getAges();
+  inline void setAges( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAges(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initAges(unsigned int size);
+  inline void adoptAges(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownAges();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1265,6 +1276,44 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::hasAges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasAges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Beat::Reader::getAges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Beat::Builder::getAges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setAges( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline void Beat::Builder::setAges(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Beat::Builder::initAges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptAges(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Beat::Builder::disownAges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline bool RowsQuestion::Reader::hasAfter() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/inner/beat_codec.cpp
+++ b/src/inner/beat_codec.cpp
@@ -15,7 +15,8 @@
 /// Words that a decoder may visit; more means a malformed message.
 constexpr std::uint64_t MostWords = 4ULL << 20;
 
-constexpr double BusyUnits = 10; ///< Parts of a request on the wire.
+constexpr double BusyUnits = 10;    ///< Parts of a request on the wire.
+constexpr Duration AgeUnit = 100ms; ///< Of ages on the wire, rounded up.
 
 std::string text(capnp::Text::Reader From) {
   return {From.begin(), From.size()};
@@ -51,6 +52,23 @@
     To.set(I, From[I]);
 }
 
+constexpr unsigned AgeBits = 32 - PeerAge::HashBits - PeerAge::RunBits;
+
+std::uint32_t wordOf(const PeerAge &From) {
+  std::int64_t Most = (1 << AgeBits) - 1;
+  std::int64_t Units = (From.m_Age + AgeUnit - 1us) / AgeUnit;
+  return (From.m_VmHash << (PeerAge::RunBits + AgeBits)) |
+         (From.m_Run << AgeBits) | std::uint32_t(std::min(Units, Most));
+}
+
+PeerAge ageOf(std::uint32_t Word) {
+  PeerAge To;
+  To.m_VmHash = Word >> (PeerAge::RunBits + AgeBits);
+  To.m_Run = (Word >> AgeBits) & ((1U << PeerAge::RunBits) - 1);
+  To.m_Age = std::int64_t(Word & ((1U << AgeBits) - 1)) * AgeUnit;
+  return To;
+}
+
 Beat beatOf(inner::Beat::Reader From) {
   Beat To;
   To.m_From.m_Vm = VmName(text(From.getVm()));
@@ -72,6 +90,8 @@
   for (auto Share : From.getShares())
     To.m_Shares.push_back({Share.getService(), double(Share.getLocal()),
                            double(Share.getBusy())});
+  for (std::uint32_t Age : From.getAges())
+    To.m_Ages.push_back(ageOf(Age));
   for (auto Other : From.getOthers())
     To.m_Others.push_back(text(Other));
   return To;
@@ -141,6 +161,9 @@
     Shares[I].setLocal(float(From.m_Shares[I].m_Local));
     Shares[I].setBusy(float(From.m_Shares[I].m_Busy));
   }
+  auto Ages = To.initAges(unsigned(From.m_Ages.size()));
+  for (unsigned I = 0; I < Ages.size(); ++I)
+    Ages.set(I, wordOf(From.m_Ages[I]));
   auto Others = To.initOthers(unsigned(From.m_Others.size()));
   for (unsigned I = 0; I < Others.size(); ++I)
     Others.set(I, From.m_Others[I]);
--- a/src/inner/beat_codec.h
+++ b/src/inner/beat_codec.h
@@ -26,6 +26,7 @@
   std::vector<PeerLoad> m_Loads;
   std::vector<PeerShare> m_Shares;
   std::vector<std::string> m_Others; ///< Peer addresses that it knows.
+  std::vector<PeerAge> m_Ages;       ///< Of some other VMs.
   /// By table: version up to which the sender has everything.
   std::vector<std::uint64_t> m_Reach;
 };
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -29,6 +29,9 @@
   /// A VM not heard for this long is no longer named; three lost datagrams at
   /// the slowest rate of the exchange.
   Duration m_SilentAfter = 3s;
+  /// The same in a large fleet, where a VM is mostly heard of from others;
+  /// what they tell is up to a second older.
+  Duration m_CrowdSilentAfter = 4s;
   /// VMs of a region that follow the store and tell the others.
   unsigned m_Readers = 2;
   /// A reader not heard for this long is replaced. A change must be in force
@@ -41,6 +44,30 @@
   /// of each upstream.
   double m_SmallPart = 0.5;
   Duration m_BusyLag = 25ms; ///< A VM whose timers are later is busy.
+  /// Up to so many peers, each beat goes to all of them.
+  std::size_t m_SmallFleet = 16;
+  // Above, a beat goes to a few by chance, and carries how long ago others were
+  // heard. At 420 VMs, four datagrams of 400 bytes in 200 ms and as many
+  // received are 16 KB/s, what a VM may spend on control.
+  /// Of the own region, in a fleet of m_NearFull; fewer in a larger one, in
+  /// proportion. Loads known later than within a second fill small regions.
+  std::size_t m_NearPerBeat = 8;
+  std::size_t m_NearFull = 100;
+  std::size_t m_NearLeast = 3;
+  std::size_t m_FarPerBeat = 1;
+  std::size_t m_MostAges = 32; ///< Other VMs that one beat tells of.
+  /// Peers that have not been told of this run yet and get the next beat
+  /// besides; a whole fleet of 420 is met within 1.4 s.
+  std::size_t m_FirstPerBeat = 60;
+};
+
+/// \brief How long ago a VM was heard, as one peer tells another.
+struct PeerAge {
+  static constexpr unsigned HashBits = 20;
+  static constexpr unsigned RunBits = 4;
+  std::uint32_t m_VmHash = 0; ///< Low bits of the name's hash.
+  std::uint32_t m_Run = 0;    ///< Low bits of the incarnation.
+  Duration m_Age{};
 };
 
 /// \brief Load that a peer has put on one upstream.
@@ -65,11 +92,27 @@
   /// \returns Whether it is news: a new run, or it was silent, or its state
   /// changed.
   bool heard(const EntryVm &One, TimePoint Now);
+  /// \brief A peer tells how long ago it heard, itself or from others, of a
+  /// VM. Only extends the life of a run that has spoken for itself before.
+  void heardOf(const PeerAge &One, TimePoint Now);
+  /// \brief What to tell of others of the region: some of those that live.
+  /// Of other regions the few that were heard lately are enough, as they
+  /// only stand in for a region without VMs.
+  [[nodiscard]] std::vector<PeerAge> ages(TimePoint Now, unsigned Round) const;
+  /// \brief Every beat goes to every peer.
+  [[nodiscard]] bool small() const noexcept {
+    return m_Peers.size() <= m_Tuning.m_SmallFleet;
+  }
+  /// \brief The peers that beat number \p Round goes to; each new run of a
+  /// peer gets one soon.
+  [[nodiscard]] std::vector<EntryVm> audience(unsigned Round);
+
   /// \brief The load that \p Vm reports; replaces its last report.
   void loads(const VmName &Vm, std::vector<PeerLoad> Of, TimePoint Now);
 
   /// \brief Sum of the peers' requests at upstreams, by hash; silent
-  /// peers count nothing.
+  /// peers count nothing. Of a region whose VMs were heard only in part, the
+  /// sum is raised to the whole.
   [[nodiscard]] std::map<std::uint64_t, double> peersBusy(TimePoint Now) const;
 
   /// \brief Other VMs that a message may be sent to.
@@ -103,11 +146,17 @@
     std::optional<TimePoint> m_HeardAt;
     std::vector<PeerLoad> m_Loads;
     TimePoint m_LoadsAt{};
+    bool m_Told = false; ///< Its present run has got a beat.
   };
   [[nodiscard]] bool live(const Peer &One, TimePoint Now) const;
+  /// \brief A number that differs by VM and \p Number, evenly spread.
+  [[nodiscard]] std::uint64_t draw(std::uint64_t Number) const;
+  [[nodiscard]] static PeerAge ageOf(const Peer &One, TimePoint Now);
 
   FleetTuning m_Tuning;
   std::map<VmName, Peer> m_Peers; ///< Never holds this VM.
+  /// Members of m_Peers, whose nodes don't move.
+  std::map<std::uint32_t, Peer *> m_ByHash; ///< By PeerAge::m_VmHash.
 };
 
 } // namespace mustardspoke::steer
--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -80,8 +80,9 @@
 }
 
 void LocalShares::update(const UpstreamTable &Table, const Placement &Here,
-                         TimePoint Now, const LocalShareTuning &Tuning) {
-  if (Now - m_SteppedAt < Tuning.m_Every)
+                         TimePoint Now, const LocalShareTuning &Tuning,
+                         bool Crowd) {
+  if (Now - m_SteppedAt < (Crowd ? Tuning.m_CrowdEvery : Tuning.m_Every))
     return;
   m_SteppedAt = Now;
   for (const auto &[Service, Load] : loads(Table, Here, Now)) {
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -12,6 +12,8 @@
 /// \brief Constants of the shares' control.
 struct LocalShareTuning {
   Duration m_Every = 200ms;
+  /// In a large fleet, whose VMs agree more slowly.
+  Duration m_CrowdEvery = 420ms;
   /// Largest change a step. Ten steps are two seconds, in which a region may
   /// move 0.15 of its requests elsewhere.
   double m_Step = 0.011;
@@ -55,8 +57,9 @@
   void overflowed(const ServiceName &Service);
 
   /// \brief Moves every share one step, if it is time.
+  /// \param Crowd The fleet is large.
   void update(const UpstreamTable &Table, const Placement &Here, TimePoint Now,
-              const LocalShareTuning &Tuning);
+              const LocalShareTuning &Tuning, bool Crowd = false);
 
   /// \brief What a peer of the same region holds.
   void heardNear(std::uint64_t ServiceHash, double Share);
--- a/tests/unit/fleet_members_test.cpp
+++ b/tests/unit/fleet_members_test.cpp
@@ -5,6 +5,7 @@
 
 #include "steer/steer.h"
 
+#include <map>
 #include <set>
 
 namespace mustardspoke::steer {
@@ -134,6 +135,109 @@
   BOOST_TEST(Of.peersBusy(Start + 5s).empty());
 }
 
+/// \brief Many VMs that exchange beats without loss, in steps of a beat.
+struct Crowd {
+  static constexpr Duration Beat = 200ms;
+  std::vector<Fleet> m_Views;
+  std::vector<bool> m_Dead;
+  TimePoint m_Now = Start;
+  unsigned m_Round = 0;
+  std::size_t m_Datagrams = 0;
+
+  Crowd(unsigned Regions, unsigned VmsEach) {
+    std::vector<EntryVm> All;
+    for (unsigned R = 0; R < Regions; ++R)
+      for (unsigned I = 0; I < VmsEach; ++I)
+        All.push_back(vm("vm" + std::to_string(I) + "-" + std::to_string(R),
+                         "r" + std::to_string(R)));
+    for (const EntryVm &Self : All) {
+      m_Views.emplace_back(Self, FleetTuning());
+      for (const EntryVm &Other : All)
+        m_Views.back().meet(Other);
+    }
+    m_Dead.resize(All.size());
+    for (std::size_t I = 0; I < All.size(); ++I)
+      m_Index[All[I].m_Vm] = I;
+  }
+
+  void beat() {
+    m_Datagrams = 0;
+    for (std::size_t From = 0; From < m_Views.size(); ++From) {
+      if (m_Dead[From])
+        continue;
+      std::vector<PeerAge> Ages = m_Views[From].ages(m_Now, m_Round);
+      for (const EntryVm &To : m_Views[From].audience(m_Round)) {
+        ++m_Datagrams;
+        Fleet &Other = m_Views[m_Index[To.m_Vm]];
+        (void)Other.heard(m_Views[From].m_Self, m_Now);
+        for (const PeerAge &One : Ages)
+          Other.heardOf(One, m_Now);
+      }
+    }
+    m_Now += Beat;
+    ++m_Round;
+  }
+
+  /// \brief VMs of the same region that hold \p Vm alive.
+  unsigned holdAlive(std::size_t Vm) {
+    unsigned Count = 0;
+    const EntryVm &Of = m_Views[Vm].m_Self;
+    for (std::size_t I = 0; I < m_Views.size(); ++I)
+      Count += !m_Dead[I] && m_Views[I].m_Self.m_Region == Of.m_Region &&
+               m_Views[I].alive(Of.m_Vm, m_Now);
+    return Count;
+  }
+
+  std::map<VmName, std::size_t> m_Index;
+};
+
+// Of 420 VMs in four regions; with a beat from each to each other they would
+// spend 30 times what control may cost.
+BOOST_AUTO_TEST_CASE(RegionOf105KnowsItsLivingAndDeadWithFewDatagrams) {
+  Crowd Of(4, 105);
+  for (int I = 0; I < 40; ++I)
+    Of.beat();
+  FleetTuning Tuning;
+  BOOST_TEST(Of.m_Datagrams <=
+             Of.m_Views.size() * (Tuning.m_NearLeast + Tuning.m_FarPerBeat));
+  for (std::size_t Vm : {0U, 50U, 209U})
+    BOOST_TEST(Of.holdAlive(Vm) == 104U);
+  Of.m_Dead[7] = true;
+  for (TimePoint Died = Of.m_Now; Of.m_Now - Died <= Tuning.m_CrowdSilentAfter;)
+    Of.beat();
+  BOOST_TEST(Of.holdAlive(7) == 0U);
+  unsigned Wrong = 0;
+  for (int I = 0; I < 100; ++I) {
+    Of.beat();
+    for (std::size_t Vm : {0U, 50U, 209U})
+      Wrong += Of.holdAlive(Vm) < (Vm == 209U ? 104U : 103U) ? 1 : 0;
+  }
+  BOOST_TEST(Wrong == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AgesExtendOnlyTheRunThatWasHeard) {
+  Fleet Of(vm("a", "r"), {});
+  for (int I = 0; I < 30; ++I)
+    Of.meet(vm("other" + std::to_string(I), "r"));
+  Fleet Teller(vm("b", "r"), {});
+  for (int I = 0; I < 30; ++I)
+    (void)Teller.heard(vm("other" + std::to_string(I), "r"), Start);
+  std::vector<PeerAge> Told = Teller.ages(Start, 0);
+  BOOST_REQUIRE(!Told.empty());
+  for (const PeerAge &One : Told)
+    Of.heardOf(One, Start);
+  for (int I = 0; I < 30; ++I)
+    BOOST_TEST(!Of.alive(VmName("other" + std::to_string(I)), Start));
+  for (int I = 0; I < 30; ++I)
+    (void)Of.heard(vm("other" + std::to_string(I), "r"), Start - 2s);
+  unsigned Alive = 0;
+  for (const PeerAge &One : Told)
+    Of.heardOf(One, Start);
+  for (int I = 0; I < 30; ++I)
+    Alive += Of.alive(VmName("other" + std::to_string(I)), Start + 2s);
+  BOOST_TEST(Alive == Told.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace mustardspoke::steer
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -160,6 +160,7 @@
   From.m_Loads = {{99, 2.5}};
   From.m_Shares = {{1, 0.5, 0.25}};
   From.m_Reach = {3, 4, 5};
+  From.m_Ages = {{1234567 % 1048576, 9, 250ms}};
   auto To = decodeBeat(encodeBeat(From));
   BOOST_REQUIRE(To.has_value());
   BOOST_TEST(To->m_From.m_Vm.str() == "a");
@@ -167,6 +168,9 @@
   BOOST_TEST((To->m_From.m_Lag == 30ms));
   BOOST_TEST(To->m_Loads.front().m_Busy == 2.5);
   BOOST_TEST(To->m_Shares.front().m_Busy == 0.25);
+  BOOST_TEST(To->m_Ages.front().m_Run == 9);
+  BOOST_TEST(To->m_Ages.front().m_VmHash == 1234567U % 1048576);
+  BOOST_TEST((To->m_Ages.front().m_Age == 300ms)); // In tenths, rounded up.
   BOOST_TEST((To->m_Reach == From.m_Reach));
 }
 
