--- a/tests/support/server_side.cpp
+++ b/tests/support/server_side.cpp
@@ -15,7 +15,7 @@
 }
 
 void spawn(asio::io_context &Io, std::function<awaitable<void>()> What) {
-  asio::co_spawn(Io, std::move(What), [](std::exception_ptr Thrown) {
+  asio::co_spawn(Io, std::move(What), [](const std::exception_ptr &Thrown) {
     if (Thrown)
       std::rethrow_exception(Thrown);
   });
