--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/http_call.h"
 #include "support/server_side.h"
+
 #include "json/json.h"
 
 #include <boost/asio/write.hpp>
