--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -82,6 +82,12 @@
 public:
   Fleet(EntryVm Self, FleetTuning Tuning)
       : m_Self(std::move(Self)), m_Tuning(Tuning) {}
+  // m_ByHash points into m_Peers; a move keeps its nodes, a copy would not.
+  Fleet(const Fleet &) = delete;
+  Fleet &operator=(const Fleet &) = delete;
+  Fleet(Fleet &&) = default;
+  Fleet &operator=(Fleet &&) = default;
+  ~Fleet() = default;
 
   EntryVm m_Self;
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -14,6 +14,14 @@
 constexpr unsigned MostTimes = 3;   ///< Of one fault in a series.
 constexpr Duration LapseAfter = 1s; ///< A crashed upstream's registration.
 
+/// \brief A mode that is not LinkMode::Pass.
+LinkMode anyHarm(Random &Rng) {
+  constexpr LinkMode Modes[] = {LinkMode::Delay, LinkMode::Reset,
+                                LinkMode::CutRequests, LinkMode::CutAnswers,
+                                LinkMode::Silent};
+  return Modes[Rng(5)];
+}
+
 } // namespace
 
 Faults::Faults(asio::io_context &Io, Site &On, std::uint64_t Seed)
@@ -152,13 +160,6 @@
   co_return;
 }
 
-LinkMode anyHarm(Random &Rng) {
-  constexpr LinkMode Modes[] = {LinkMode::Delay, LinkMode::Reset,
-                                LinkMode::CutRequests, LinkMode::CutAnswers,
-                                LinkMode::Silent};
-  return Modes[Rng(5)];
-}
-
 Faults::Done Faults::harmStoreLink() {
   unsigned Vm = anyVm();
   LinkMode To = anyHarm(m_Rng);
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -287,7 +287,7 @@
   steer::LoadReport Load{To.m_Running, unsigned(To.m_Waiting.size()),
                          m_Plan.m_Slots};
   if (uniform() >= To.m_Loss)
-    at(path(*One, To), [this, One, &To, Load] { answered(One, To, Load); });
+    at(path(*One, To), [this, One, Load] { answered(One, Load); });
   while (!To.m_Waiting.empty() && To.m_Running < m_Plan.m_Slots) {
     AskedPtr Next = To.m_Waiting.front();
     To.m_Waiting.pop_front();
@@ -296,8 +296,7 @@
   }
 }
 
-void LoadModel::answered(const AskedPtr &One, Server & /*To*/,
-                         steer::LoadReport Load) {
+void LoadModel::answered(const AskedPtr &One, steer::LoadReport Load) {
   if (One->m_Settled)
     return;
   steer::Upstream &At = *One->m_To;
--- a/tests/support/load_model.h
+++ b/tests/support/load_model.h
@@ -114,7 +114,7 @@
   void reach(const AskedPtr &One, Server &To);
   void begin(const AskedPtr &One, Server &To);
   void finish(const AskedPtr &One, Server &To);
-  void answered(const AskedPtr &One, Server &To, steer::LoadReport Load);
+  void answered(const AskedPtr &One, steer::LoadReport Load);
   void exchangeLoads();
   void registerAll(EntryNode &With);
   void tally(const AskedPtr &One, unsigned LoadTally::*As);
