Large tables are read whole less often

Change: whole readings follow each other at 8 ms a row at least (unchanged up to 375 rows); above 1,000 rows the feed waits 3 s, so that a silent one is noticed as soon as before. Test: LargeTablesAreReadLessOften.

--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -11,6 +11,11 @@
 
 /// One wait of a feed; each costs a call, and a silent link shows after it.
 constexpr Duration FeedWait = 20s;
+/// The same where whole readings are rare, which would show it otherwise.
+constexpr Duration ShortFeedWait = 3s;
+/// Between whole readings for each row; about 350 bytes of an answer, so that
+/// readings take 44 KB/s at most.
+constexpr Duration PerRow = 8ms;
 /// Full readings that find what a feed has missed. Upstreams must be known to
 /// leave within 2 s at the strictest site.
 constexpr Duration ReadUpstreamsEvery = 3s;
@@ -37,6 +42,10 @@
 
 } // namespace
 
+Duration pauseBetweenReadings(Duration Least, std::size_t Rows) {
+  return std::max(Least, PerRow * std::int64_t(Rows));
+}
+
 Belief::Belief(GatewayState &State, UpstreamPool &Pool, RowStore &Store)
     : m_State(State), m_Pool(Pool), m_Store(Store) {}
 
@@ -128,7 +137,9 @@
     bool Reads = m_State.m_Fleet.mustRead(steadyNow());
     noteReads(Reads);
     if (Reads)
-      Pause = co_await readTable(Table) ? Every : AfterFailure;
+      Pause = co_await readTable(Table)
+                  ? pauseBetweenReadings(Every, m_Tables[Table].rows().size())
+                  : AfterFailure;
     // A VM that has to follow the store from now on must not sleep longer.
     for (TimePoint Until = steadyNow() + Pause; steadyNow() < Until;) {
       Timer.expires_after(std::min(Pause, FollowerCheck));
@@ -152,7 +163,9 @@
       co_await Timer.async_wait(noThrow(Ignored));
       continue;
     }
-    StoreRead News = co_await m_Store.changes(Table, After, FeedWait);
+    bool Large = m_Tables[Table].rows().size() * PerRow > ReadVmsEvery;
+    StoreRead News = co_await m_Store.changes(Table, After,
+                                              Large ? ShortFeedWait : FeedWait);
     noteStore(News, "feed " + Table);
     if (News.m_End == StoreEnd::Done) {
       for (StoreRow &Row : News.m_Rows) {
--- a/src/gateway/belief.h
+++ b/src/gateway/belief.h
@@ -13,6 +13,11 @@
 
 namespace mustardspoke::steer {
 
+/// \brief Time from one whole reading of a table to the next.
+/// \param Least For a small table; a large one is read less often, so that
+/// readings cost a bounded rate of bytes.
+[[nodiscard]] Duration pauseBetweenReadings(Duration Least, std::size_t Rows);
+
 /// \brief Follows the store's tables.
 class Belief {
 public:
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -160,6 +160,17 @@
   BOOST_TEST(Cache.reach() == 200);
 }
 
+// With 3,000 upstreams, two VMs a region read a megabyte every three seconds.
+BOOST_AUTO_TEST_CASE(LargeTablesAreReadLessOften) {
+  BOOST_TEST((pauseBetweenReadings(3s, 40) == 3s));
+  constexpr std::size_t RowBytes = 350;
+  constexpr std::size_t MostRate = 50000; // Bytes a second.
+  for (std::size_t Rows : {1000U, 3000U, 10000U})
+    BOOST_TEST(Rows * RowBytes /
+                   std::size_t(pauseBetweenReadings(3s, Rows) / 1s) <=
+               MostRate);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(InnerProtocol)
