--- a/tests/soak/site.cpp
+++ b/tests/soak/site.cpp
@@ -216,9 +216,14 @@
     if (auto Status = One.m_Process->exited()) {
       bool InStart = *Status == SIGTERM &&
                      One.m_StoppedAt - Of.m_Started.back() < StartLasts;
-      // The program can't ignore a signal before its first instruction.
+      // The program can't ignore a signal before its first instruction; one
+      // paused by then gets there late.
+      TimePoint Loaded = Of.m_Started.back() + ExecLasts;
+      bool PausedInExec = !Of.m_Paused.empty() &&
+                          Of.m_Paused.back().m_From > Of.m_Started.back() &&
+                          Of.m_Paused.back().m_From < Loaded;
       bool InExec =
-          *Status == SIGHUP && One.m_HungUpAt - Of.m_Started.back() < ExecLasts;
+          *Status == SIGHUP && (One.m_HungUpAt < Loaded || PausedInExec);
       if ((!One.m_Stopping && !InExec) || (*Status != 0 && !InStart && !InExec))
         m_Log.m_Broken.push_back(Name + " ended with status " +
                                  std::to_string(*Status));
