--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -83,6 +83,14 @@
   BOOST_TEST(m_Open == 0U);
 }
 
+HttpReply ExchangeRig::ask(const std::string &Text) {
+  std::vector<HttpReply> Answers;
+  caller(Text, 1, Answers);
+  run();
+  BOOST_REQUIRE(Answers.size() == 1);
+  return Answers.front();
+}
+
 awaitable<void> ExchangeRig::acceptCallers() {
   for (;;) {
     NetError Error;
--- a/tests/support/exchange_rig.h
+++ b/tests/support/exchange_rig.h
@@ -33,6 +33,8 @@
 
   /// \brief Runs until all callers are done.
   void run();
+  /// \brief One request by a caller of its own. \returns Its only answer.
+  [[nodiscard]] steer::HttpReply ask(const std::string &Text);
 
   steer::asio::io_context m_Io;
   steer::GatewayState m_State;
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -41,11 +41,8 @@
     co_await Side.answer("somebody-else", "wrong");
     co_await Side.answer(Id, "right");
   });
-  std::vector<HttpReply> Answers;
-  R.caller(get("a"), 1, Answers);
-  R.run();
-  BOOST_REQUIRE(Answers.size() == 1);
-  BOOST_TEST(Answers[0].m_Body == "right");
+  HttpReply Answer = R.ask(get("a"));
+  BOOST_TEST(Answer.m_Body == "right");
 }
 
 BOOST_AUTO_TEST_CASE(ExtraAnswerDoesNotReachTheNextRequest) {
@@ -78,11 +75,8 @@
   };
   R.upstream("u", Lose);
   R.upstream("v", Lose);
-  std::vector<HttpReply> Answers;
-  R.caller(post("a"), 1, Answers);
-  R.run();
-  BOOST_REQUIRE(Answers.size() == 1);
-  BOOST_TEST(Answers[0].m_Head.m_Status == 502U);
+  HttpReply Answer = R.ask(post("a"));
+  BOOST_TEST(Answer.m_Head.m_Status == 502U);
   BOOST_TEST(Runs == 1U);
 }
 
@@ -98,11 +92,8 @@
   };
   R.upstream("u", Serve);
   R.upstream("v", Serve);
-  std::vector<HttpReply> Answers;
-  R.caller(get("a"), 1, Answers);
-  R.run();
-  BOOST_REQUIRE(Answers.size() == 1);
-  BOOST_TEST(Answers[0].m_Body == "second");
+  HttpReply Answer = R.ask(get("a"));
+  BOOST_TEST(Answer.m_Body == "second");
 }
 
 BOOST_AUTO_TEST_CASE(RefusalsOfAllUpstreamsStayRefusals) {
@@ -114,12 +105,9 @@
   };
   R.upstream("u", Refuse);
   R.upstream("v", Refuse);
-  std::vector<HttpReply> Answers;
-  R.caller(post("a"), 1, Answers);
-  R.run();
-  BOOST_REQUIRE(Answers.size() == 1);
-  BOOST_TEST(Answers[0].m_Head.m_Status == 503U);
-  BOOST_TEST(Answers[0].m_Head.find("Retry-After") != nullptr);
+  HttpReply Answer = R.ask(post("a"));
+  BOOST_TEST(Answer.m_Head.m_Status == 503U);
+  BOOST_TEST(Answer.m_Head.find("Retry-After") != nullptr);
 }
 
 BOOST_AUTO_TEST_CASE(UnprovedRefusalOfAnUnsafeRequestIsNotPassedOnAsOne) {
@@ -129,11 +117,8 @@
     co_await Side.raw("HTTP/1.1 503 Busy\r\nX-Request-Id: " + Id +
                       "\r\nContent-Length: 0\r\n\r\n");
   });
-  std::vector<HttpReply> Answers;
-  R.caller(post("a"), 1, Answers);
-  R.run();
-  BOOST_REQUIRE(Answers.size() == 1);
-  BOOST_TEST(Answers[0].m_Head.m_Status == 502U);
+  HttpReply Answer = R.ask(post("a"));
+  BOOST_TEST(Answer.m_Head.m_Status == 502U);
 }
 
 BOOST_AUTO_TEST_CASE(BodyThatBreaksOffIsNeverPassedOnAsWhole) {
@@ -147,11 +132,8 @@
   };
   R.upstream("u", Cut);
   R.upstream("v", Cut);
-  std::vector<HttpReply> Answers;
-  R.caller(get("a"), 1, Answers);
-  R.run();
-  BOOST_REQUIRE(Answers.size() == 1);
-  BOOST_TEST(Answers[0].m_Head.m_Status == 502U);
+  HttpReply Answer = R.ask(get("a"));
+  BOOST_TEST(Answer.m_Head.m_Status == 502U);
 }
 
 BOOST_AUTO_TEST_CASE(SuccessWithoutASignatureIsNotPassedOn) {
@@ -160,11 +142,8 @@
     (void)co_await Side.request();
     co_await Side.raw("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake");
   });
-  std::vector<HttpReply> Answers;
-  R.caller(post("a"), 1, Answers);
-  R.run();
-  BOOST_REQUIRE(Answers.size() == 1);
-  BOOST_TEST(Answers[0].m_Head.m_Status == 502U);
+  HttpReply Answer = R.ask(post("a"));
+  BOOST_TEST(Answer.m_Head.m_Status == 502U);
 }
 
 BOOST_AUTO_TEST_CASE(DeadlineEndsInAFinalAnswer) {
@@ -173,11 +152,8 @@
     (void)co_await Side.request();
     (void)co_await Side.request(); // Never answers.
   });
-  std::vector<HttpReply> Answers;
-  R.caller(get("a", "X-Deadline-Ms: 100\r\n"), 1, Answers);
-  R.run();
-  BOOST_REQUIRE(Answers.size() == 1);
-  BOOST_TEST(Answers[0].m_Head.m_Status == 504U);
+  HttpReply Answer = R.ask(get("a", "X-Deadline-Ms: 100\r\n"));
+  BOOST_TEST(Answer.m_Head.m_Status == 504U);
 }
 
 BOOST_AUTO_TEST_CASE(LeavingCallerStopsTheUpstreamsWork) {
--- /dev/null
+++ b/tests/unit/gateway_settings_test.cpp
@@ -0,0 +1,57 @@
+/// \file
+/// The gateway's settings file.
+#define BOOST_TEST_DYN_LINK
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/settings.h"
+
+using namespace mustardspoke;
+using namespace mustardspoke::steer;
+
+BOOST_AUTO_TEST_SUITE(GatewaySettingsFile)
+
+namespace {
+const std::string GoodSettings = R"({
+  "vm": "v1", "region": "r", "failureDomain": "z",
+  "failureDomains": {"z": "r"}, "store": "10.0.0.1:80",
+  "listen": {"ip": "10.0.0.2", "callers": "10.0.0.2:81",
+             "ready": "10.0.0.2:82", "lookups": "10.0.0.2:83",
+             "peerPorts": ["7000"]},
+  "seeds": ["10.0.0.9:84"],
+  "limits": {"stopGrace": "6s", "retrySlack": 56}})";
+} // namespace
+
+BOOST_AUTO_TEST_CASE(GoodSettingsAreRead) {
+  Faults Found;
+  GatewaySettings Read = readGatewaySettings(GoodSettings, Found);
+  BOOST_TEST(Found.empty(), faultLines(Found));
+  BOOST_TEST(Read.m_PeerAddress == "10.0.0.2:7000");
+  BOOST_TEST(Read.m_SeedIps.front() == "10.0.0.9");
+  BOOST_TEST((Read.m_Grace == 6s));
+  BOOST_TEST(Read.m_Retry.m_Slack == 56);
+}
+
+BOOST_AUTO_TEST_CASE(EveryFaultIsNamedWithItsPlace) {
+  Faults Found;
+  (void)readGatewaySettings(
+      R"({"vm": "v", "region": "r", "failureDomain": "y",
+          "failureDomains": {"z": "r"}, "store": "nowhere",
+          "listen": {}, "limits": {"stopGrace": "soon"}})",
+      Found);
+  std::string Lines = faultLines(Found);
+  for (const char *Place : {"store", "failureDomain", "listen.callers",
+                            "listen.peerPorts", "limits.stopGrace"})
+    BOOST_TEST(Lines.find(Place) != std::string::npos, Lines);
+  Faults Broken;
+  (void)readGatewaySettings("{", Broken);
+  BOOST_TEST(!Broken.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TimesHaveUnits) {
+  BOOST_TEST((durationOf("1500ms") == 1500ms));
+  BOOST_TEST((durationOf("2.5s") == 2500ms));
+  for (const char *Bad : {"", "5", "ms", "-1s", "1m"})
+    BOOST_TEST(!durationOf(Bad).has_value(), Bad);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
