One copy of base64, whole answers, sleeping and accepting

Base64 stood in the adapter and in the soak's store, a whole answer with its head in the gateway and there, the sleep in six loops and in the tests' support, the accept loop in four stand-ins.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -2,6 +2,7 @@
 /// Public header of the configuration package: settings and bundles.
 #pragma once
 
+#include "config/base64.h"        // IWYU pragma: export
 #include "config/bundle_format.h" // IWYU pragma: export
 #include "config/faults.h"        // IWYU pragma: export
 #include "config/settings.h"      // IWYU pragma: export
--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -122,8 +122,6 @@
 }
 
 awaitable<void> Belief::readAgain(std::string Table, Duration Every) {
-  asio::steady_timer Timer(m_State.m_Io);
-  NetError Ignored;
   while (!m_State.m_Leaving) {
     Duration Pause = FollowerCheck;
     bool Reads = m_State.m_Fleet.mustRead(steadyNow());
@@ -134,8 +132,7 @@
                   : AfterFailure;
     // A VM that has to follow the store from now on must not sleep longer.
     for (TimePoint Until = steadyNow() + Pause; steadyNow() < Until;) {
-      Timer.expires_after(std::min(Pause, FollowerCheck));
-      co_await Timer.async_wait(noThrow(Ignored));
+      co_await sleepFor(m_State.m_Io, std::min(Pause, FollowerCheck));
       bool Changed = m_State.m_Fleet.mustRead(steadyNow()) != Reads;
       if (std::exchange(m_Doubted[Table], false) || Changed)
         break;
@@ -144,15 +141,12 @@
 }
 
 awaitable<void> Belief::followFeed(std::string Table) {
-  asio::steady_timer Timer(m_State.m_Io);
-  NetError Ignored;
   while (!m_State.m_Leaving) {
     std::uint64_t After = m_FeedFrom[Table];
     if (After == 0 || !m_Reads) {
       // The first full reading is still under way, or others follow.
       m_FeedFrom[Table] = 0;
-      Timer.expires_after(50ms);
-      co_await Timer.async_wait(noThrow(Ignored));
+      co_await sleepFor(m_State.m_Io, 50ms);
       continue;
     }
     bool Large = m_Tables[Table].rows().size() * PerRow > ReadVmsEvery;
@@ -168,8 +162,7 @@
       m_Tables[Table].reached(News.m_Version);
       std::uint64_t &From = m_FeedFrom[Table];
       From = std::max(From, News.m_Version);
-      Timer.expires_after(FeedEvery);
-      co_await Timer.async_wait(noThrow(Ignored));
+      co_await sleepFor(m_State.m_Io, FeedEvery);
       continue;
     }
     if (News.m_End == StoreEnd::HistoryGone)
@@ -177,15 +170,12 @@
                {{"table", Table}, {"after", std::to_string(After)}});
     // What the feed would have told meanwhile stands in the table.
     (void)co_await readTable(Table);
-    Timer.expires_after(AfterFailure);
-    co_await Timer.async_wait(noThrow(Ignored));
+    co_await sleepFor(m_State.m_Io, AfterFailure);
   }
 }
 
 awaitable<void> Belief::publish() {
   const EntryVm &Self = m_State.m_Fleet.m_Self;
-  asio::steady_timer Timer(m_State.m_Io);
-  NetError Ignored;
   while (!m_State.m_Leaving) {
     StoreWrite One;
     One.m_Row.m_Table = m_State.m_Decoder.m_Tables.m_Vms;
@@ -195,8 +185,7 @@
     noteStore(End, "meeting row");
     if (End.m_End == StoreEnd::Done)
       co_return;
-    Timer.expires_after(AfterFailure);
-    co_await Timer.async_wait(noThrow(Ignored));
+    co_await sleepFor(m_State.m_Io, AfterFailure);
   }
 }
 
--- a/src/gateway/belief_rows.cpp
+++ b/src/gateway/belief_rows.cpp
@@ -120,9 +120,7 @@
 }
 
 awaitable<void> Belief::removeLater(std::string Id, std::uint64_t Version) {
-  asio::steady_timer Timer(m_State.m_Io, LapsedReturn);
-  NetError Ignored;
-  co_await Timer.async_wait(noThrow(Ignored));
+  co_await sleepFor(m_State.m_Io, LapsedReturn);
   m_RemovedLater.erase(Id);
   const auto &Rows = m_Tables[m_State.m_Decoder.m_Tables.m_Upstreams].rows();
   auto Found = Rows.find(Id);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -108,20 +108,12 @@
   asio::signal_set m_Signals;
 };
 
-std::string plainAnswer(unsigned Status, std::string_view Type,
-                        const std::string &Body) {
-  HeadWriter Head = HeadWriter::response(Status, reasonOf(Status));
-  Head.field("Content-Type", Type);
-  Head.field("Content-Length", std::uint64_t(Body.size()));
-  return Head.finish() + Body;
-}
-
 std::string Gateway::ready(const HttpHead &Of) {
   if (Of.m_Target.substr(0, Of.m_Target.find('?')) !=
       m_State.m_Dialect.m_ReadyPath)
     return nothingHere(Of);
-  return m_State.ready() ? plainAnswer(200, "text/plain", "ready\n")
-                         : plainAnswer(503, "text/plain", "not ready\n");
+  return m_State.ready() ? wholeAnswer(200, "text/plain", "ready\n")
+                         : wholeAnswer(503, "text/plain", "not ready\n");
 }
 
 std::string Gateway::lookup(const HttpHead &Of) {
@@ -135,18 +127,18 @@
   View.m_Self.m_Leaving = m_State.m_Leaving;
   std::vector<std::string> Named = View.named(At, steadyNow());
   if (Named.empty())
-    return plainAnswer(503, "text/plain", "no entry VM is ready\n");
-  return plainAnswer(
+    return wholeAnswer(503, "text/plain", "no entry VM is ready\n");
+  return wholeAnswer(
       200, "application/json",
       m_State.m_Dialect.m_LookupBody(Named, m_State.m_Settings.m_LookupLife));
 }
 
 std::string Gateway::metrics(const HttpHead & /*Of*/) {
-  return plainAnswer(200, "text/plain", m_State.m_Metrics.exposition());
+  return wholeAnswer(200, "text/plain", m_State.m_Metrics.exposition());
 }
 
 std::string Gateway::nothingHere(const HttpHead & /*Of*/) {
-  return plainAnswer(404, "text/plain", "no such page\n");
+  return wholeAnswer(404, "text/plain", "no such page\n");
 }
 
 RequestHandler Gateway::local(Local Answer) {
@@ -154,7 +146,7 @@
                         PendingRequestPtr Request) -> awaitable<bool> {
     if (Request->m_Fault != HttpFault::None || Request->m_HeadLate) {
       co_await From->send(Request,
-                          plainAnswer(400, "text/plain", "unreadable\n"));
+                          wholeAnswer(400, "text/plain", "unreadable\n"));
       co_return false;
     }
     bool There = co_await From->send(Request, (this->*Answer)(Request->m_Head));
@@ -198,8 +190,7 @@
       // Out of descriptors or a caller that left early: others still come.
       logEvent(LogLevel::Warning, "accept-failed",
                {{"cause", Error.message()}});
-      asio::steady_timer Timer(m_Io, 10ms);
-      co_await Timer.async_wait(noThrow(Error));
+      co_await sleepFor(m_Io, 10ms);
       continue;
     }
     CallerLimits Limits =
@@ -256,8 +247,6 @@
   m_Peers.announce();
   asio::co_spawn(
       m_Io, [this]() { return m_Belief.withdraw(); }, asio::detached);
-  asio::steady_timer Timer(m_Io);
-  NetError Ignored;
   for (;;) {
     TimePoint Now = steadyNow();
     Duration TakesFor(
@@ -272,8 +261,7 @@
                  Now - Began > LeastStay;
     if (Quiet || Now - Began > m_State.m_Settings.m_Grace - GraceMargin)
       break;
-    Timer.expires_after(50ms);
-    co_await Timer.async_wait(noThrow(Ignored));
+    co_await sleepFor(m_Io, 50ms);
   }
   m_State.m_Metrics.recordDrain(steadyNow() - Began);
   logEvent(LogLevel::Info, "stopped",
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -264,6 +264,14 @@
   return view(http::obsolete_reason(http::int_to_status(Status)));
 }
 
+std::string wholeAnswer(unsigned Status, std::string_view Type,
+                        std::string_view Body) {
+  HeadWriter Head = HeadWriter::response(Status, reasonOf(Status));
+  Head.field("Content-Type", Type);
+  Head.field("Content-Length", std::uint64_t(Body.size()));
+  return Head.finish().append(Body);
+}
+
 std::string chunkOf(std::string_view Bytes) {
   char Size[20];
   auto End = std::to_chars(Size, Size + sizeof Size, Bytes.size(), 16).ptr;
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -119,6 +119,10 @@
 /// \brief The usual reason phrase of \p Status.
 [[nodiscard]] std::string_view reasonOf(unsigned Status) noexcept;
 
+/// \brief An answer with its body, of the media type \p Type.
+[[nodiscard]] std::string wholeAnswer(unsigned Status, std::string_view Type,
+                                      std::string_view Body);
+
 /// \brief One chunk of a chunked body.
 [[nodiscard]] std::string chunkOf(std::string_view Bytes);
 inline constexpr std::string_view LastChunk = "0\r\n\r\n";
--- a/src/gateway/net.cpp
+++ b/src/gateway/net.cpp
@@ -22,6 +22,12 @@
   (void)::setsockopt(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &Millis, sizeof Millis);
 }
 
+awaitable<void> sleepFor(asio::io_context &Io, Duration Span) {
+  asio::steady_timer Timer(Io, Span);
+  NetError Ignored;
+  co_await Timer.async_wait(noThrow(Ignored));
+}
+
 void CloseTimer::arm(Tcp::socket &Target, TimePoint At) {
   disarm();
   m_State = std::make_shared<State>();
--- a/src/gateway/net.h
+++ b/src/gateway/net.h
@@ -64,6 +64,9 @@
 /// long before the connection fails.
 void detectSilence(Tcp::socket &On, Duration Unanswered);
 
+/// \brief Sleeps on the loop's own clock.
+awaitable<void> sleepFor(asio::io_context &Io, Duration Span);
+
 /// \brief Wakes coroutines that wait for a change of state.
 class Signal {
 public:
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -130,8 +130,6 @@
 }
 
 awaitable<void> PeerLink::beatLoop() {
-  asio::steady_timer Timer(m_State.m_Io);
-  NetError Ignored;
   const std::string &Own = m_State.m_Settings.m_PeerAddress;
   std::string Port = Own.substr(Own.rfind(':'));
   for (;;) {
@@ -153,8 +151,7 @@
     }
     ++m_Round;
     Duration Spent = period();
-    Timer.expires_after(Spent);
-    co_await Timer.async_wait(noThrow(Ignored));
+    co_await sleepFor(m_State.m_Io, Spent);
     TimePoint Now = steadyNow();
     auto Loads = m_State.m_Fleet.peersBusy(Now);
     m_State.m_Upstreams.each([&Loads](Upstream &One) {
@@ -246,8 +243,7 @@
     if (Error) {
       logEvent(LogLevel::Warning, "peer-accept-failed",
                {{"cause", Error.message()}});
-      asio::steady_timer Timer(m_State.m_Io, FastestBeat);
-      co_await Timer.async_wait(noThrow(Error));
+      co_await sleepFor(m_State.m_Io, FastestBeat);
       continue;
     }
     asio::co_spawn(
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -12,7 +12,6 @@
 namespace mustardspoke::soak {
 
 using namespace steer;
-using test::sleepFor;
 
 namespace {
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -5,7 +5,6 @@
 namespace mustardspoke::soak {
 
 using namespace steer;
-using test::sleepFor;
 
 namespace {
 
--- a/tests/soak/link_proxy.cpp
+++ b/tests/soak/link_proxy.cpp
@@ -21,7 +21,8 @@
                      std::string Target)
     : m_Io(Io), m_On(Io, endpointOf<Tcp>(Listen).value()),
       m_Target(std::move(Target)) {
-  test::spawn(m_Io, [this]() { return accept(); });
+  test::acceptEach(m_Io, m_On,
+                   [this](Tcp::socket One) { accepted(std::move(One)); });
 }
 
 void LinkProxy::reset(Tcp::socket &One) {
@@ -42,20 +43,12 @@
     }
 }
 
-awaitable<void> LinkProxy::accept() {
-  for (;;) {
-    NetError Error;
-    Tcp::socket One = co_await m_On.async_accept(noThrow(Error));
-    if (Error)
-      co_return;
-    if (m_Mode == LinkMode::Reset) {
-      reset(One);
-      continue;
-    }
-    auto Both = std::make_shared<Pair>(Pair{std::move(One), Tcp::socket(m_Io)});
-    m_Pairs.push_back(Both);
-    test::spawn(m_Io, [this, Both]() { return join(Both); });
-  }
+void LinkProxy::accepted(Tcp::socket One) {
+  if (m_Mode == LinkMode::Reset)
+    return reset(One);
+  auto Both = std::make_shared<Pair>(Pair{std::move(One), Tcp::socket(m_Io)});
+  m_Pairs.push_back(Both);
+  test::spawn(m_Io, [this, Both]() { return join(Both); });
 }
 
 awaitable<void> LinkProxy::join(PairPtr Both) {
@@ -74,7 +67,7 @@
   LinkMode Cut = Answers ? LinkMode::CutAnswers : LinkMode::CutRequests;
   while ((m_Mode == Cut || m_Mode == LinkMode::Silent) &&
          Both.m_Caller.is_open())
-    co_await test::sleepFor(m_Io, Look);
+    co_await steer::sleepFor(m_Io, Look);
 }
 
 awaitable<void> LinkProxy::pump(PairPtr Both, bool Answers) {
@@ -87,7 +80,7 @@
         co_await From.async_read_some(asio::buffer(Piece), noThrow(Error));
     co_await untilFlowing(*Both, Answers);
     if (m_Mode == LinkMode::Delay)
-      co_await test::sleepFor(m_Io, DelayOfPiece);
+      co_await steer::sleepFor(m_Io, DelayOfPiece);
     NetError Lost;
     if (Got > 0)
       co_await asio::async_write(To, asio::buffer(Piece, Got), noThrow(Lost));
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -38,7 +38,7 @@
   };
   using PairPtr = std::shared_ptr<Pair>;
 
-  steer::awaitable<void> accept();
+  void accepted(steer::Tcp::socket One);
   steer::awaitable<void> join(PairPtr Both);
   steer::awaitable<void> pump(PairPtr Both, bool Answers);
   /// \brief Waits while bytes of this direction stand still.
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -82,12 +82,12 @@
     m_Callers.start(CallerCount);
     m_Faults.start(m_With.m_Length);
     while (m_Faults.open() > 0)
-      co_await test::sleepFor(m_Io, 50ms);
+      co_await steer::sleepFor(m_Io, 50ms);
     m_Site.heal();
     co_await recovered("after the last fault");
     m_Callers.stop();
     while (m_Callers.open() > 0)
-      co_await test::sleepFor(m_Io, 50ms);
+      co_await steer::sleepFor(m_Io, 50ms);
     if (std::uint64_t Peak = m_Site.peakKib(); Peak > MostMemoryKib)
       m_Log.m_Broken.push_back("a process took " + std::to_string(Peak) +
                                " KiB");
@@ -97,7 +97,7 @@
   Done watch() {
     for (;;) {
       m_Site.lookAtVms();
-      co_await test::sleepFor(m_Io, 20ms);
+      co_await steer::sleepFor(m_Io, 20ms);
     }
   }
 
@@ -111,7 +111,7 @@
           Served = Served && co_await m_Callers.once(Vm, What) == 200;
         Good = Served ? Good + 1 : 0;
         if (!Served)
-          co_await test::sleepFor(m_Io, 100ms);
+          co_await steer::sleepFor(m_Io, 100ms);
         if (steer::steadyNow() > End) {
           m_Log.m_Broken.push_back("vm " + std::to_string(Vm) +
                                    " didn't serve all kinds " + When);
--- a/tests/soak/table_standin.cpp
+++ b/tests/soak/table_standin.cpp
@@ -2,10 +2,10 @@
 /// Rows, conditional writes and feeds of the store stand-in.
 #include "soak/table_standin.h"
 
+#include "config/base64.h"
 #include "json/json.h"
 
 #include <cstdlib>
-#include <sodium.h>
 
 namespace mustardspoke::soak {
 
@@ -17,43 +17,22 @@
 constexpr Duration FeedLook = 5ms;
 constexpr Duration SlowAnswer = 1s;
 
-std::string encode64(const std::string &Bytes) {
-  constexpr int Variant = sodium_base64_VARIANT_ORIGINAL;
-  std::string Text(sodium_base64_encoded_len(Bytes.size(), Variant), '\0');
-  sodium_bin2base64(Text.data(), Text.size(),
-                    reinterpret_cast<const unsigned char *>(Bytes.data()),
-                    Bytes.size(), Variant);
-  Text.pop_back(); // Its closing zero byte.
-  return Text;
-}
-
-std::string decode64(const std::string &Text) {
-  std::string Bytes(Text.size(), '\0');
-  std::size_t Size = 0;
-  if (sodium_base642bin(reinterpret_cast<unsigned char *>(Bytes.data()),
-                        Bytes.size(), Text.data(), Text.size(), nullptr, &Size,
-                        nullptr, sodium_base64_VARIANT_ORIGINAL) != 0)
-    return Text;
-  Bytes.resize(Size);
-  return Bytes;
-}
-
 std::uint64_t numberIn(const std::string &Target, const char *Name) {
   return std::strtoull(queryValue(Target, Name).c_str(), nullptr, 10);
 }
 
 std::string answerOf(unsigned Status, const std::string &Body) {
-  HeadWriter Head = HeadWriter::response(Status, reasonOf(Status));
-  Head.field("Content-Type", "application/json");
-  Head.field("Content-Length", std::uint64_t(Body.size()));
-  return Head.finish() + Body;
+  return wholeAnswer(Status, "application/json", Body);
 }
 
 } // namespace
 
 TableStandIn::TableStandIn(asio::io_context &Io, const std::string &Address)
     : m_Io(Io), m_On(Io, endpointOf<Tcp>(Address).value()) {
-  test::spawn(m_Io, [this]() { return accept(); });
+  test::acceptEach(m_Io, m_On, [this](Tcp::socket One) {
+    auto Side = std::make_shared<ServerSide>(m_Io, std::move(One));
+    test::spawn(m_Io, [this, Side]() { return serve(Side); });
+  });
 }
 
 void TableStandIn::put(const std::string &Table, const std::string &Key,
@@ -65,17 +44,6 @@
   m_Tables[Table][Key] = {{}, ++m_Version, true};
 }
 
-awaitable<void> TableStandIn::accept() {
-  for (;;) {
-    NetError Error;
-    Tcp::socket One = co_await m_On.async_accept(noThrow(Error));
-    if (Error)
-      co_return;
-    auto Side = std::make_shared<ServerSide>(m_Io, std::move(One));
-    test::spawn(m_Io, [this, Side]() { return serve(Side); });
-  }
-}
-
 awaitable<void> TableStandIn::serve(std::shared_ptr<ServerSide> Side) {
   while (!(co_await Side->request()).empty()) {
     while (m_Mode == TableMode::Silent)
@@ -117,7 +85,7 @@
         continue;
       Json One = Json::object();
       One.set("table", Json(Name)).set("key", Json(Key));
-      One.set("value", Json(encode64(Row.m_Value)));
+      One.set("value", Json(encodeBase64(Row.m_Value)));
       One.set("ver", Json(Row.m_Version));
       Rows.push(std::move(One));
     }
@@ -139,7 +107,7 @@
         continue;
       Json One = Json::object();
       One.set("table", Json(Name)).set("key", Json(Key));
-      One.set("value", Json(encode64(Row.m_Value)));
+      One.set("value", Json(encodeBase64(Row.m_Value)));
       One.set("ver", Json(Row.m_Version)).set("removed", Json(Row.m_Removed));
       Changed[Row.m_Version] = std::move(One);
     }
@@ -151,7 +119,7 @@
       Body.set("rows", std::move(Rows)).set("ver", Json(m_Version));
       co_return answerOf(200, Body.toText());
     }
-    co_await test::sleepFor(m_Io, FeedLook);
+    co_await steer::sleepFor(m_Io, FeedLook);
   }
 }
 
@@ -173,7 +141,7 @@
     return answerOf(412, "{}");
   Each("writes",
        [&](const Json &One, const std::string &Table, const std::string &Key) {
-         put(Table, Key, decode64(One.textOr("value", "")));
+         put(Table, Key, decodeBase64(One.textOr("value", "")).value_or(""));
        });
   Each("remove", [&](const Json & /*One*/, const std::string &Table,
                      const std::string &Key) { remove(Table, Key); });
--- a/tests/soak/table_standin.h
+++ b/tests/soak/table_standin.h
@@ -40,7 +40,6 @@
   };
   using Table = std::map<std::string, Row>;
 
-  steer::awaitable<void> accept();
   steer::awaitable<void> serve(std::shared_ptr<test::ServerSide> Side);
   steer::awaitable<std::string> execute(test::ServerSide &Side);
   [[nodiscard]] std::string read(const std::string &Target) const;
--- a/tests/soak/upstream_standin.cpp
+++ b/tests/soak/upstream_standin.cpp
@@ -37,7 +37,12 @@
   m_On.bind(At);
   m_On.listen();
   registerAs("ready");
-  test::spawn(m_Io, [this, Born = m_Born]() { return accept(Born); });
+  test::acceptEach(m_Io, m_On, [this, Born = m_Born](Tcp::socket One) {
+    auto Side = std::make_shared<ServerSide>(m_Io, std::move(One));
+    std::erase_if(m_Sides, [](const auto &Gone) { return Gone.expired(); });
+    m_Sides.push_back(Side);
+    test::spawn(m_Io, [this, Side, Born]() { return serve(Side, Born); });
+  });
 }
 
 void UpstreamStandIn::crash() {
@@ -69,19 +74,6 @@
   m_Table.put("servers", m_Plan.m_Id, Row.toText());
 }
 
-awaitable<void> UpstreamStandIn::accept(std::uint64_t Born) {
-  while (m_On.is_open() && Born == m_Born) {
-    NetError Error;
-    Tcp::socket One = co_await m_On.async_accept(noThrow(Error));
-    if (Error)
-      co_return;
-    auto Side = std::make_shared<ServerSide>(m_Io, std::move(One));
-    std::erase_if(m_Sides, [](const auto &Gone) { return Gone.expired(); });
-    m_Sides.push_back(Side);
-    test::spawn(m_Io, [this, Side, Born]() { return serve(Side, Born); });
-  }
-}
-
 std::string UpstreamStandIn::marks() const {
   return "X-Server-Load: " + std::to_string(m_Busy) + ",0," +
          std::to_string(m_Plan.m_Slots) + "\r\n" +
--- a/tests/soak/upstream_standin.h
+++ b/tests/soak/upstream_standin.h
@@ -52,7 +52,6 @@
   using SidePtr = std::shared_ptr<test::ServerSide>;
 
   void registerAs(const std::string &State);
-  steer::awaitable<void> accept(std::uint64_t Born);
   steer::awaitable<void> serve(SidePtr Side, std::uint64_t Born);
   /// \returns Whether the connection goes on.
   steer::awaitable<bool> run(SidePtr Side, std::string Id);
--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -46,8 +46,15 @@
   // Enough requests that the retry budget allows a repeat.
   for (int I = 0; I < 200; ++I)
     m_State.m_Budgets[ServiceName("s")].request(steadyNow());
-  asio::co_spawn(
-      m_Io, [this]() { return acceptCallers(); }, asio::detached);
+  acceptEach(m_Io, m_Callers, [this](Tcp::socket One) {
+    CallerConnectionPtr Connection(
+        new CallerConnection(m_Io, std::move(One), CallerLimits(),
+                             [this](const CallerConnectionPtr &From,
+                                    const PendingRequestPtr &Request) {
+                               return serve(From, Request);
+                             }));
+    Connection->start();
+  });
 }
 
 void ExchangeRig::upstream(const std::string &Id, const Script &Serve) {
@@ -59,21 +66,19 @@
   Facts.m_Slots = 8;
   Facts.m_Address = "127.0.0.1:" + std::to_string(On.local_endpoint().port());
   BOOST_REQUIRE(m_State.m_Upstreams.put(Facts, steadyNow()).has_value());
-  asio::co_spawn(
-      m_Io, [this, &On, Serve]() { return acceptUpstream(On, Serve); },
-      asio::detached);
+  acceptEach(m_Io, On, [this, Serve](Tcp::socket One) {
+    auto Side = std::make_shared<ServerSide>(m_Io, std::move(One));
+    spawn(m_Io, [Side, Serve]() { return runScript(Side, Serve); });
+  });
 }
 
 void ExchangeRig::caller(const std::string &Text, std::size_t Answers,
                          std::vector<HttpReply> &Into,
                          std::optional<Duration> LeaveAfter) {
   ++m_Open;
-  asio::co_spawn(
-      m_Io,
-      [this, Text, Answers, &Into, LeaveAfter]() {
-        return call(Text, Answers, Into, LeaveAfter);
-      },
-      asio::detached);
+  spawn(m_Io, [this, Text, Answers, &Into, LeaveAfter]() {
+    return call(Text, Answers, Into, LeaveAfter);
+  });
 }
 
 void ExchangeRig::run() {
@@ -91,41 +96,12 @@
   return Answers.front();
 }
 
-awaitable<void> ExchangeRig::acceptCallers() {
-  for (;;) {
-    NetError Error;
-    Tcp::socket One = co_await m_Callers.async_accept(noThrow(Error));
-    if (Error)
-      co_return;
-    CallerConnectionPtr Connection(
-        new CallerConnection(m_Io, std::move(One), CallerLimits(),
-                             [this](const CallerConnectionPtr &From,
-                                    const PendingRequestPtr &Request) {
-                               return serve(From, Request);
-                             }));
-    Connection->start();
-  }
-}
-
 awaitable<bool> ExchangeRig::serve(CallerConnectionPtr From,
                                    PendingRequestPtr Request) {
   Exchange One(m_State, m_Pool, From, Request);
   co_return co_await One.run();
 }
 
-awaitable<void> ExchangeRig::acceptUpstream(Tcp::acceptor &On, Script Serve) {
-  for (;;) {
-    NetError Error;
-    Tcp::socket One = co_await On.async_accept(noThrow(Error));
-    if (Error)
-      co_return;
-    auto Side = std::make_shared<ServerSide>(m_Io, std::move(One));
-    asio::co_spawn(
-        m_Io, [Side, Serve]() { return runScript(Side, Serve); },
-        asio::detached);
-  }
-}
-
 awaitable<void> ExchangeRig::call(std::string Text, std::size_t Answers,
                                   std::vector<HttpReply> &Into,
                                   std::optional<Duration> LeaveAfter) {
--- a/tests/support/exchange_rig.h
+++ b/tests/support/exchange_rig.h
@@ -41,10 +41,8 @@
   steer::UpstreamPool m_Pool;
 
 private:
-  steer::awaitable<void> acceptCallers();
   steer::awaitable<bool> serve(steer::CallerConnectionPtr From,
                                steer::PendingRequestPtr Request);
-  steer::awaitable<void> acceptUpstream(steer::Tcp::acceptor &On, Script Serve);
   steer::awaitable<void> call(std::string Text, std::size_t Answers,
                               std::vector<steer::HttpReply> &Into,
                               std::optional<Duration> LeaveAfter);
--- a/tests/support/server_side.cpp
+++ b/tests/support/server_side.cpp
@@ -8,12 +8,6 @@
 
 using namespace steer;
 
-awaitable<void> sleepFor(asio::io_context &Io, Duration Span) {
-  asio::steady_timer Timer(Io, Span);
-  NetError Ignored;
-  co_await Timer.async_wait(noThrow(Ignored));
-}
-
 void spawn(asio::io_context &Io, std::function<awaitable<void>()> What) {
   asio::co_spawn(Io, std::move(What), [](const std::exception_ptr &Thrown) {
     if (Thrown)
@@ -21,6 +15,27 @@
   });
 }
 
+namespace {
+
+awaitable<void> acceptLoop(Tcp::acceptor &On,
+                           std::function<void(Tcp::socket)> Serve) {
+  for (;;) {
+    NetError Error;
+    Tcp::socket One = co_await On.async_accept(noThrow(Error));
+    if (Error)
+      co_return;
+    Serve(std::move(One));
+  }
+}
+
+} // namespace
+
+void acceptEach(asio::io_context &Io, Tcp::acceptor &On,
+                std::function<void(Tcp::socket)> Serve) {
+  spawn(Io,
+        [&On, Serve = std::move(Serve)]() { return acceptLoop(On, Serve); });
+}
+
 ServerSide::ServerSide(asio::io_context &Io, Tcp::socket Socket)
     : m_Io(Io), m_Socket(std::move(Socket)),
       m_Reader(HttpReader::Role::Requests, 65536, 1 << 20) {}
--- a/tests/support/server_side.h
+++ b/tests/support/server_side.h
@@ -11,13 +11,14 @@
 
 namespace mustardspoke::test {
 
-/// \brief Sleeps on the loop's own clock.
-steer::awaitable<void> sleepFor(steer::asio::io_context &Io, Duration Span);
-
 /// \brief Starts a coroutine; what it throws ends the loop's run().
 void spawn(steer::asio::io_context &Io,
            std::function<steer::awaitable<void>()> What);
 
+/// \brief Accepts connections and hands each to \p Serve, until \p On closes.
+void acceptEach(steer::asio::io_context &Io, steer::Tcp::acceptor &On,
+                std::function<void(steer::Tcp::socket)> Serve);
+
 /// \brief Reads requests one by one and writes answers.
 class ServerSide {
 public:
@@ -35,7 +36,9 @@
   steer::awaitable<void> answer(std::string Id, std::string Body,
                                 std::string More = "");
   steer::awaitable<void> raw(std::string Out);
-  steer::awaitable<void> sleep(Duration Span) { return sleepFor(m_Io, Span); }
+  steer::awaitable<void> sleep(Duration Span) {
+    return steer::sleepFor(m_Io, Span);
+  }
 
   void close();
   /// \brief Closes with a reset instead of an orderly end.
