One event queue for both models; one verdict on settings

The two models of the tests had the same event loop, two commands the same words on a settings file.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -84,6 +84,22 @@
   return std::string(std::istreambuf_iterator<char>(In), {});
 }
 
+/// \brief Prints the faults of settings, or that there are none if the command
+/// line asks only for a check.
+/// \returns The exit status, if the command ends with this.
+std::optional<int> settingsVerdict(const Arguments &Given,
+                                   const std::string &Path,
+                                   const Faults &Found) {
+  if (!Found.empty()) {
+    std::cerr << Path << " has faults:\n" << faultLines(Found);
+    return ExitUsage;
+  }
+  if (!Given.at("--check").asBool())
+    return std::nullopt;
+  std::cout << Path << ": no faults\n";
+  return 0;
+}
+
 int runEntryCommand(const Arguments &Given) {
   std::string Path = option(Given, "SETTINGS");
   auto Text = readFile(Path);
@@ -91,14 +107,8 @@
     return ExitUsage;
   Faults Found;
   Settings From = readSettings(*Text, Found);
-  if (!Found.empty()) {
-    std::cerr << Path << " has faults:\n" << faultLines(Found);
-    return ExitUsage;
-  }
-  if (Given.at("--check").asBool()) {
-    std::cout << Path << ": no faults\n";
-    return 0;
-  }
+  if (auto Exit = settingsVerdict(Given, Path, Found))
+    return *Exit;
   return runEntry(From);
 }
 
@@ -110,14 +120,8 @@
   Faults Found;
   steer::GatewayAdapter Adapter = steer::platform::adapter();
   steer::GatewaySettings From = steer::readGatewaySettings(*Text, Found);
-  if (!Found.empty()) {
-    std::cerr << Path << " has faults:\n" << faultLines(Found);
-    return ExitUsage;
-  }
-  if (Given.at("--check").asBool()) {
-    std::cout << Path << ": no faults\n";
-    return 0;
-  }
+  if (auto Exit = settingsVerdict(Given, Path, Found))
+    return *Exit;
   startLog(From.m_Vm.str(), "info");
   return steer::runGateway(Path, From, Adapter);
 }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -89,7 +89,7 @@
   One.m_Self.m_CallerAddress = std::to_string(Index);
   One.m_Self.m_PeerAddress = std::to_string(Index);
   One.m_Node = std::make_unique<Node>(One.m_Self, m_Plan.m_Tuning,
-                                      m_Plan.m_Rules, m_Rng(), m_Now);
+                                      m_Plan.m_Rules, m_Rng(), m_Clock.m_Now);
   One.m_Alive = true;
   One.m_Paused = false;
   One.m_Version = 0;
@@ -97,7 +97,7 @@
   One.m_Waiters.clear();
   One.m_Fetching.clear();
   m_List.push_back({VmName(Name), std::to_string(Index), false});
-  One.m_Node->onVmList(m_List, m_Now);
+  One.m_Node->onVmList(m_List, m_Clock.m_Now);
   std::uint64_t Run = One.m_Run;
   // Spread the loops, as real processes' are.
   after(Duration(std::int64_t(m_Rng()) % BeatEvery.count()),
@@ -111,11 +111,11 @@
 }
 
 void Fleet::at(Duration When, std::function<void()> Action) {
-  m_Events.push({m_Start + When, ++m_Order, std::move(Action)});
+  m_Clock.at(m_Start + When, std::move(Action));
 }
 
 void Fleet::after(Duration Delay, std::function<void()> Action) {
-  m_Events.push({m_Now + Delay, ++m_Order, std::move(Action)});
+  m_Clock.after(Delay, std::move(Action));
 }
 
 void Fleet::onVm(std::size_t Vm, std::function<void()> Action) {
@@ -148,13 +148,13 @@
   if (Version < m_Vms[Vm].m_Version)
     ++m_Violations.m_BundleBack;
   if (Version > m_Vms[Vm].m_Version)
-    m_SpreadAt[Version] = m_Now;
+    m_SpreadAt[Version] = m_Clock.m_Now;
   m_Vms[Vm].m_Version = Version;
 }
 
 void Fleet::kill(std::size_t Vm) {
   m_Vms[Vm].m_Alive = false;
-  m_Vms[Vm].m_DiedAt = m_Now;
+  m_Vms[Vm].m_DiedAt = m_Clock.m_Now;
   m_Vms[Vm].m_Waiters.clear();
   VmName Name = m_Vms[Vm].m_Self.m_Run.m_Vm;
   after(ListLag, [this, Vm, Name] {
@@ -185,7 +185,7 @@
 }
 
 void Fleet::leaveVm(std::size_t Vm) {
-  onVm(Vm, [this, Vm] { m_Vms[Vm].m_Node->leave(m_Now); });
+  onVm(Vm, [this, Vm] { m_Vms[Vm].m_Node->leave(m_Clock.m_Now); });
   after(m_Plan.m_Tuning.m_LookupLife + 1s, [this, Vm] { handOver(Vm); });
 }
 
@@ -199,12 +199,13 @@
       return;
     for (std::size_t I = 0; I < m_Vms.size(); ++I)
       if (!m_Vms[I].m_StoreCut)
-        onVm(I, [=, this] { m_Vms[I].m_Node->onVmList(Lagging, m_Now); });
+        onVm(I,
+             [=, this] { m_Vms[I].m_Node->onVmList(Lagging, m_Clock.m_Now); });
   });
 }
 
 void Fleet::drainUpstream(const std::string &Name) {
-  m_Upstreams.at(UpstreamName(Name)).m_DrainSince = m_Now;
+  m_Upstreams.at(UpstreamName(Name)).m_DrainSince = m_Clock.m_Now;
 }
 
 void Fleet::loseAnswers(const std::string &Name, double Part) {
@@ -213,7 +214,8 @@
 
 std::uint64_t Fleet::acceptBundle(std::size_t Vm, Bundle Next) {
   if (!m_Vms[Vm].m_Alive || m_Vms[Vm].m_Paused || m_Vms[Vm].m_StoreCut ||
-      m_StoreMode == StoreMode::Down || !m_Vms[Vm].m_Node->mayAccept(m_Now))
+      m_StoreMode == StoreMode::Down ||
+      !m_Vms[Vm].m_Node->mayAccept(m_Clock.m_Now))
     return 0;
   const StoredRow *Stored = m_Table.find(HeadKey);
   Next.m_Version = std::get<HeadRow>(Stored->m_Row).m_Version + 1;
@@ -224,9 +226,10 @@
     return 0;
   std::uint64_t Version = Next.m_Version;
   m_Bundles[Version] = std::make_shared<const Bundle>(std::move(Next));
-  m_AcceptedAt[Version] = m_Now;
-  onVm(Vm,
-       [=, this] { (void)m_Vms[Vm].m_Node->adopt(m_Bundles[Version], m_Now); });
+  m_AcceptedAt[Version] = m_Clock.m_Now;
+  onVm(Vm, [=, this] {
+    (void)m_Vms[Vm].m_Node->adopt(m_Bundles[Version], m_Clock.m_Now);
+  });
   return Version;
 }
 
@@ -250,13 +253,7 @@
       });
     }
   }
-  TimePoint End = m_Start + m_Plan.m_Length + 15s;
-  while (!m_Events.empty() && m_Events.top().m_At <= End) {
-    Event Next = m_Events.top();
-    m_Events.pop();
-    m_Now = Next.m_At;
-    Next.m_Action();
-  }
+  m_Clock.run(m_Start + m_Plan.m_Length + 15s);
   judge();
 }
 
@@ -283,7 +280,7 @@
     if (!One.m_Alive || One.m_Paused)
       continue;
     for (const auto &[Name, U] : One.m_Node->upstreams())
-      Usable += One.m_Node->limits().usable(*U->m_Slots, m_Now);
+      Usable += One.m_Node->limits().usable(*U->m_Slots, m_Clock.m_Now);
   }
   for (const auto &[Name, U] : m_Upstreams)
     Capacity += U.m_Spec.m_Slots;
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -6,13 +6,13 @@
 #pragma once
 
 #include "core/core.h"
+#include "support/event_queue.h"
 #include "tables/memory_table.h"
 
 #include <array>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 #include <vector>
@@ -124,7 +124,7 @@
   [[nodiscard]] std::optional<Duration> drainTime() const;
   [[nodiscard]] Node &node(std::size_t Vm) { return *m_Vms[Vm].m_Node; }
   [[nodiscard]] std::size_t size() const { return m_Vms.size(); }
-  [[nodiscard]] TimePoint now() const { return m_Now; }
+  [[nodiscard]] TimePoint now() const { return m_Clock.m_Now; }
   [[nodiscard]] MemoryTable &table() { return m_Table; }
   [[nodiscard]] std::uint64_t storeWrites() const { return m_StoreWrites; }
   /// \brief Runs at upstreams, over all calls.
@@ -155,14 +155,6 @@
     double m_LosePart = 0;
     double m_Slowness = 1;
   };
-  struct Event {
-    TimePoint m_At;
-    std::uint64_t m_Order;
-    std::function<void()> m_Action;
-    bool operator<(const Event &Other) const {
-      return std::pair(Other.m_At, Other.m_Order) < std::pair(m_At, m_Order);
-    }
-  };
   /// One try of a caller, with everything that it was told.
   struct Attempt {
     ServiceName m_Service;
@@ -216,10 +208,8 @@
 
   FleetPlan m_Plan;
   Random m_Rng;
-  TimePoint m_Now{1h};
+  EventQueue m_Clock;
   TimePoint m_Start{1h};
-  std::uint64_t m_Order = 0;
-  std::priority_queue<Event> m_Events;
   std::vector<Vm> m_Vms;
   std::map<UpstreamName, FakeUpstream> m_Upstreams;
   std::map<RegionName, std::uint32_t> m_RegionBusy;
--- a/tests/support/fleet_calls.cpp
+++ b/tests/support/fleet_calls.cpp
@@ -17,13 +17,13 @@
 
 void Fleet::arrivals(const Service &Of, const RegionName &Home,
                      double PerSecond) {
-  if (m_Now > m_Start + m_Plan.m_Length || PerSecond <= 0)
+  if (m_Clock.m_Now > m_Start + m_Plan.m_Length || PerSecond <= 0)
     return;
   auto New = std::make_shared<Attempt>();
   New->m_Service = Of.m_Name;
   New->m_Home = Home;
-  New->m_Begun = m_Now;
-  New->m_Deadline = m_Now + Of.m_Deadline;
+  New->m_Begun = m_Clock.m_Now;
+  New->m_Deadline = m_Clock.m_Now + Of.m_Deadline;
   New->m_MayRepeat = Of.m_Repeatable;
   m_Attempts.push_back(New);
   ++m_Tallies[Of.m_Name].m_Offered;
@@ -43,12 +43,12 @@
     for (const ClientBlock &Block : m_Plan.m_Bundle->m_Clients)
       if (Block.m_Region == Of->m_Home)
         Request.m_Client = Block.m_Prefix | 1;
-    LookupAnswer Answer = m_Vms[Vm].m_Node->lookUp(Request, m_Now);
+    LookupAnswer Answer = m_Vms[Vm].m_Node->lookUp(Request, m_Clock.m_Now);
     if (Answer.m_Error != ErrorKind::None)
       continue;
     for (const NamedVm &Named : Answer.m_Vms) {
       const auto &At = m_Vms[vmAt(Named.m_Address)];
-      if (!At.m_Alive && m_Now - At.m_DiedAt > NamedBound)
+      if (!At.m_Alive && m_Clock.m_Now - At.m_DiedAt > NamedBound)
         ++m_Violations.m_NamedDead;
     }
     Of->m_Vms = Answer.m_Vms;
@@ -90,7 +90,7 @@
     });
   });
   Duration Patience =
-      std::max<Duration>(Of->m_Deadline - m_Now, 0s) + CallerPatience;
+      std::max<Duration>(Of->m_Deadline - m_Clock.m_Now, 0s) + CallerPatience;
   after(Patience, [=, this] {
     if (!Of->m_Settled && Of->m_Sends == Send)
       sendCall(Of);
@@ -103,13 +103,14 @@
     CallRequest Request;
     Request.m_Service = Of->m_Service;
     Request.m_Tenant = TenantName("tenant");
-    Request.m_Deadline = std::max<Duration>(Of->m_Deadline - m_Now, 1ms);
+    Request.m_Deadline =
+        std::max<Duration>(Of->m_Deadline - m_Clock.m_Now, 1ms);
     if (!Of->m_MayRepeat) {
       Request.m_Deadline = 0ms;
       Request.m_Ticket = Of->m_Ticket;
     }
     Request.m_Hops = Hops;
-    CallTurn Turn = m_Vms[Vm].m_Node->begin(Request, m_Now);
+    CallTurn Turn = m_Vms[Vm].m_Node->begin(Request, m_Clock.m_Now);
     if (Turn.m_Step.m_Kind != StepKind::Relay) {
       follow(Vm, Turn.m_Id, Of, Turn.m_Step, Told);
       return;
@@ -148,7 +149,7 @@
       if (m_Vms[Vm].m_Run != Run)
         return;
       onVm(Vm, [=, this] {
-        CallStep Next = m_Vms[Vm].m_Node->confirmSend(Id, m_Now);
+        CallStep Next = m_Vms[Vm].m_Node->confirmSend(Id, m_Clock.m_Now);
         if (Next.m_Kind == StepKind::Send && Next.m_Upstream == Step.m_Upstream)
           startRun(Vm, Id, Of, Next, Told);
         else
@@ -181,11 +182,12 @@
     if (++At.m_Busy > At.m_Spec.m_Slots)
       ++m_Violations.m_UpstreamOver;
     At.m_Peak = std::max(At.m_Peak, At.m_Busy);
-    At.m_LastStart = m_Now;
-    if (At.m_DrainSince && m_Now - *At.m_DrainSince > DrainBound)
+    At.m_LastStart = m_Clock.m_Now;
+    if (At.m_DrainSince && m_Clock.m_Now - *At.m_DrainSince > DrainBound)
       ++m_Violations.m_DrainLate;
     auto Newer = m_AcceptedAt.upper_bound(Version);
-    if (Newer != m_AcceptedAt.end() && m_Now - Newer->second > BundleBound)
+    if (Newer != m_AcceptedAt.end() &&
+        m_Clock.m_Now - Newer->second > BundleBound)
       ++m_Violations.m_BundleLate;
     const RegionName &In = At.m_Spec.m_Region;
     std::uint32_t &Busy = m_RegionBusy[In];
@@ -210,8 +212,8 @@
         double(exponential(Mean / 2).count() + (Mean / 2).count()) *
         At.m_Slowness));
     // The upstream honours the deadline that came with the call.
-    bool InTime = m_Now + Takes <= Deadline;
-    Takes = std::min(Takes, Duration(Deadline - m_Now));
+    bool InTime = m_Clock.m_Now + Takes <= Deadline;
+    Takes = std::min(Takes, Duration(Deadline - m_Clock.m_Now));
     bool Lost = uniform() < At.m_LosePart;
     after(Takes, [=, this] {
       --m_Upstreams.at(Name).m_Busy;
@@ -228,7 +230,7 @@
                                      : AttemptEnd::Answered;
           if (End == AttemptEnd::Answered)
             Self.firstByte(Id, Takes + Way * 2);
-          CallStep Next = Self.finish(Id, End, m_Now);
+          CallStep Next = Self.finish(Id, End, m_Clock.m_Now);
           if (End == AttemptEnd::Answered && !Of->m_MayRepeat)
             Self.keepAnswer(Of->m_Ticket->m_Id, {200, "", "", true});
           follow(Vm, Id, Of, Next, Told);
@@ -248,7 +250,7 @@
     return;
   // Whoever holds a ticket asks on past the deadline to learn its fate.
   TimePoint LastAsk = Of->m_Deadline + (Of->m_MayRepeat ? 0s : 10s);
-  if (Done || !m_Plan.m_CallersRetry || m_Now >= LastAsk) {
+  if (Done || !m_Plan.m_CallersRetry || m_Clock.m_Now >= LastAsk) {
     settle(Of, Step.m_Outcome);
     return;
   }
@@ -271,7 +273,8 @@
   ServiceTally &Into = m_Tallies[Of->m_Service];
   if (Last == Outcome::Done) {
     ++Into.m_Done;
-    Into.m_LatencyMs.push_back(double((m_Now - Of->m_Begun).count()) / 1e3);
+    Into.m_LatencyMs.push_back(double((m_Clock.m_Now - Of->m_Begun).count()) /
+                               1e3);
   } else {
     ++(Last == Outcome::NotRun ? Into.m_NotRun : Into.m_Unknown);
   }
--- a/tests/support/fleet_loops.cpp
+++ b/tests/support/fleet_loops.cpp
@@ -19,16 +19,16 @@
       after(TickEvery, [this, Vm] { handOver(Vm); });
       return;
     }
-    const MemberInfo *To = Giver.successor(m_Now);
+    const MemberInfo *To = Giver.successor(m_Clock.m_Now);
     if (!To)
       return;
     std::size_t Taker = vmAt(To->m_CallerAddress);
-    auto Batch = Giver.handOver(To->m_Run, m_Now);
+    auto Batch = Giver.handOver(To->m_Run, m_Clock.m_Now);
     if (!m_Plan.m_HandOverRecords)
       Batch.m_Records.clear();
     after(m_Plan.m_DomainDelay, [this, Taker, Batch] {
       onVm(Taker, [this, Taker, Batch] {
-        m_Vms[Taker].m_Node->takeOver(Batch, m_Now);
+        m_Vms[Taker].m_Node->takeOver(Batch, m_Clock.m_Now);
       });
     });
     Giver.returnShares();
@@ -42,8 +42,8 @@
   if (m_Vms[Vm].m_Paused)
     return;
   Node &From = *m_Vms[Vm].m_Node;
-  std::vector<std::string> Peers = From.heartbeat(m_Now);
-  TimePoint SentAt = m_Now;
+  std::vector<std::string> Peers = From.heartbeat(m_Clock.m_Now);
+  TimePoint SentAt = m_Clock.m_Now;
   for (const std::string &Address : Peers) {
     std::size_t To = vmAt(Address);
     if (To >= m_Vms.size() || m_Vms[To].m_Group != m_Vms[Vm].m_Group)
@@ -53,11 +53,11 @@
     Duration Delay = Far ? m_Plan.m_RegionDelay : m_Plan.m_DomainDelay;
     after(Delay, [=, this] {
       onVm(To, [=, this] {
-        GossipReply Reply = m_Vms[To].m_Node->onPush(Push, m_Now);
+        GossipReply Reply = m_Vms[To].m_Node->onPush(Push, m_Clock.m_Now);
         after(Delay, [=, this] {
           if (m_Vms[Vm].m_Run == Run)
             onVm(Vm, [=, this] {
-              m_Vms[Vm].m_Node->onGossipReply(Reply, SentAt, m_Now);
+              m_Vms[Vm].m_Node->onGossipReply(Reply, SentAt, m_Clock.m_Now);
               fetchBundles(Vm);
             });
         });
@@ -71,7 +71,7 @@
     return;
   after(TickEvery, [=, this] { tickLoop(Vm, Run); });
   if (!m_Vms[Vm].m_Paused)
-    onVm(Vm, [=, this] { m_Vms[Vm].m_Node->tick(m_Now); });
+    onVm(Vm, [=, this] { m_Vms[Vm].m_Node->tick(m_Clock.m_Now); });
 }
 
 void Fleet::fetchBundles(std::size_t Vm) {
@@ -88,7 +88,8 @@
     if (m_Vms[Vm].m_Run != Run)
       return;
     m_Vms[Vm].m_Fetching.erase(Document->m_Version);
-    onVm(Vm, [=, this] { (void)m_Vms[Vm].m_Node->adopt(Document, m_Now); });
+    onVm(Vm,
+         [=, this] { (void)m_Vms[Vm].m_Node->adopt(Document, m_Clock.m_Now); });
   });
 }
 
@@ -99,7 +100,7 @@
   if (m_Vms[Vm].m_Paused)
     return;
   Node &Self = *m_Vms[Vm].m_Node;
-  auto Request = Self.nextStoreRequest(m_Now);
+  auto Request = Self.nextStoreRequest(m_Clock.m_Now);
   fetchBundles(Vm);
   noteVersion(Vm);
   if (!Request || m_Vms[Vm].m_StoreCut || m_StoreMode == StoreMode::Down)
@@ -120,7 +121,7 @@
     after(Way, [=, this] {
       if (m_Vms[Vm].m_Run == Run)
         onVm(Vm, [=, this] {
-          m_Vms[Vm].m_Node->onStoreReply(Reply, m_Now);
+          m_Vms[Vm].m_Node->onStoreReply(Reply, m_Clock.m_Now);
           fetchBundles(Vm);
         });
     });
@@ -133,7 +134,7 @@
   after(PollEvery, [=, this] { pollLoads(Vm, Run); });
   if (m_Vms[Vm].m_Paused)
     return;
-  for (const Upstream &U : m_Vms[Vm].m_Node->loadPolls(m_Now)) {
+  for (const Upstream &U : m_Vms[Vm].m_Node->loadPolls(m_Clock.m_Now)) {
     const FakeUpstream &Fake = m_Upstreams.at(U.m_Name);
     LoadReport Report{Fake.m_Spec.m_Slots, Fake.m_Busy,
                       Fake.m_DrainSince.has_value()};
@@ -141,7 +142,7 @@
     after(Way * 2, [=, this, Name = U.m_Name] {
       if (m_Vms[Vm].m_Run == Run)
         onVm(Vm, [=, this] {
-          m_Vms[Vm].m_Node->onLoadReport(Name, Report, m_Now);
+          m_Vms[Vm].m_Node->onLoadReport(Name, Report, m_Clock.m_Now);
         });
     });
   }
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -63,7 +63,8 @@
 
 LoadModel::LoadModel(LoadPlan Plan)
     : m_Plan(std::move(Plan)), m_Rng(m_Plan.m_Seed),
-      m_End(m_Now + m_Plan.m_Length), m_Times(m_Plan.m_Regions.size(), 1) {
+      m_End(m_Clock.m_Now + m_Plan.m_Length),
+      m_Times(m_Plan.m_Regions.size(), 1) {
   m_Route.m_Name = "stock";
   m_Route.m_Prefix = "/";
   m_Route.m_TargetLatency = m_Plan.m_Target;
@@ -88,7 +89,7 @@
 LoadModel::~LoadModel() = default;
 
 void LoadModel::at(Duration When, std::function<void()> Action) {
-  m_Events.push({m_Now + When, m_Order++, std::move(Action)});
+  m_Clock.after(When, std::move(Action));
 }
 
 void LoadModel::registerAll(EntryNode &With) {
@@ -99,7 +100,7 @@
     Facts.m_Region = RegionName(One->m_Region);
     Facts.m_Domain = DomainName(One->m_Region + "-a");
     Facts.m_Slots = m_Plan.m_Slots;
-    (void)With.m_Upstreams.put(Facts, m_Now);
+    (void)With.m_Upstreams.put(Facts, m_Clock.m_Now);
     bool Near = With.m_Here.m_Region == Facts.m_Region;
     With.m_Upstreams.find(One->m_Id)->connected(
         2 * (Near ? m_Plan.m_NearPath : m_Plan.m_FarPath));
@@ -153,24 +154,19 @@
   for (std::size_t I = 0; I < m_Plan.m_Regions.size(); ++I)
     arrivals(I);
   exchangeLoads();
-  while (!m_Events.empty()) {
-    Event Next = m_Events.top();
-    m_Events.pop();
-    m_Now = Next.m_At;
-    Next.m_Action();
-  }
+  m_Clock.run();
   return m_Result;
 }
 
 void LoadModel::arrivals(std::size_t Region) {
   double Rate = m_Plan.m_Regions[Region].m_PerSecond * m_Times[Region];
   at(exponential(Duration(std::int64_t(1e6 / Rate))), [this, Region] {
-    if (m_Now >= m_End)
+    if (m_Clock.m_Now >= m_End)
       return;
     auto One = std::make_shared<Asked>();
     One->m_Region = Region;
     One->m_Key = unsigned(Region) * m_Plan.m_Keys + m_Rng(m_Plan.m_Keys);
-    One->m_ArrivedAt = m_Now;
+    One->m_ArrivedAt = m_Clock.m_Now;
     route(One);
     arrivals(Region);
   });
@@ -188,9 +184,9 @@
       UpstreamPtr Known = Vm->m_Upstreams.find(One->m_Id);
       Known->m_PeersBusy = Sum[Known->m_Hash] - Known->busyHere();
     }
-    Vm->m_Shares.update(Vm->m_Upstreams, Vm->m_Here, m_Now, {});
+    Vm->m_Shares.update(Vm->m_Upstreams, Vm->m_Here, m_Clock.m_Now, {});
   }
-  if (m_Now < m_End)
+  if (m_Clock.m_Now < m_End)
     at(BeatEvery, [this] { exchangeLoads(); });
 }
 
@@ -209,10 +205,11 @@
   Vm.m_Shares.request(Service, Sharing);
   ChoiceInput Input{m_Route, nullptr, Service};
   Input.m_KeyHash = stableHash(std::to_string(One->m_Key));
-  Input.m_Now = m_Now;
-  Input.m_ToTarget = One->m_ArrivedAt + m_Plan.m_Target - m_Now;
+  Input.m_Now = m_Clock.m_Now;
+  Input.m_ToTarget = One->m_ArrivedAt + m_Plan.m_Target - m_Clock.m_Now;
   Input.m_LocalShare = Vm.m_Shares.of(Service);
-  Input.m_MayOverflow = Vm.m_Shares.mayOverflow(Service, m_Now, Sharing);
+  Input.m_MayOverflow =
+      Vm.m_Shares.mayOverflow(Service, m_Clock.m_Now, Sharing);
   Input.m_ServiceWork = Vm.m_Upstreams.meanWork(Service);
   Choice Picked =
       m_Plan.m_Choose(Input, Vm.m_Upstreams, Vm.m_Here, m_Plan.m_Tuning);
@@ -223,17 +220,17 @@
   One->m_Vm = &Vm;
   One->m_To = Picked.m_To;
   One->m_LoadBefore = Picked.m_Load;
-  One->m_SentAt = m_Now;
+  One->m_SentAt = m_Clock.m_Now;
   ++One->m_To->m_InFlight;
   for (const auto &To : m_Servers)
     if (To->m_Id == One->m_To->m_Facts.m_Id)
       at(path(*One, *To),
          [this, One, Server = To.get()] { reach(One, *Server); });
-  at(One->m_ArrivedAt + m_Plan.m_Deadline - m_Now, [this, One] {
+  at(One->m_ArrivedAt + m_Plan.m_Deadline - m_Clock.m_Now, [this, One] {
     if (One->m_Settled)
       return;
     --One->m_To->m_InFlight;
-    (void)One->m_To->failed(m_Now, m_Plan.m_Tuning.m_Judgement,
+    (void)One->m_To->failed(m_Clock.m_Now, m_Plan.m_Tuning.m_Judgement,
                             One->m_To->answeredSince(One->m_SentAt));
     tally(One, &LoadTally::m_Lost);
   });
@@ -242,7 +239,7 @@
 void LoadModel::refused(const AskedPtr &One, Duration ComeBack) {
   // Callers come back once.
   if (++One->m_Refusals > 1 ||
-      m_Now + ComeBack > One->m_ArrivedAt + m_Plan.m_Deadline / 2)
+      m_Clock.m_Now + ComeBack > One->m_ArrivedAt + m_Plan.m_Deadline / 2)
     return tally(One, &LoadTally::m_Refused);
   at(ComeBack, [this, One] { route(One); });
 }
@@ -301,11 +298,11 @@
     return;
   steer::Upstream &At = *One->m_To;
   --At.m_InFlight;
-  At.report(Load, m_Now);
-  Duration Work = At.succeeded(m_Now, m_Now - One->m_SentAt, One->m_LoadBefore,
-                               m_Plan.m_Tuning.m_Judgement);
+  At.report(Load, m_Clock.m_Now);
+  Duration Work = At.succeeded(m_Clock.m_Now, m_Clock.m_Now - One->m_SentAt,
+                               One->m_LoadBefore, m_Plan.m_Tuning.m_Judgement);
   One->m_Vm->m_Upstreams.worked(Service, Work);
-  tally(One, m_Now - One->m_ArrivedAt <= m_Plan.m_Target
+  tally(One, m_Clock.m_Now - One->m_ArrivedAt <= m_Plan.m_Target
                  ? &LoadTally::m_InTarget
                  : &LoadTally::m_Late);
 }
--- a/tests/support/load_model.h
+++ b/tests/support/load_model.h
@@ -8,13 +8,13 @@
 
 #include "core/upstreams.h"
 #include "steer/steer.h"
+#include "support/event_queue.h"
 
 #include <deque>
 #include <functional>
 #include <list>
 #include <map>
 #include <memory>
-#include <queue>
 #include <string>
 #include <vector>
 
@@ -99,14 +99,6 @@
   struct EntryNode;
   struct Asked;
   using AskedPtr = std::shared_ptr<Asked>;
-  struct Event {
-    TimePoint m_At;
-    std::uint64_t m_Order;
-    std::function<void()> m_Action;
-    bool operator<(const Event &Other) const {
-      return std::pair(Other.m_At, Other.m_Order) < std::pair(m_At, m_Order);
-    }
-  };
 
   void arrivals(std::size_t Region);
   void route(const AskedPtr &One);
@@ -125,10 +117,8 @@
   LoadPlan m_Plan;
   Random m_Rng;
   steer::Route m_Route;
-  TimePoint m_Now{1h};
+  EventQueue m_Clock;
   TimePoint m_End;
-  std::uint64_t m_Order = 0;
-  std::priority_queue<Event> m_Events;
   std::vector<double> m_Times; ///< Load of each region, of the planned.
   std::vector<std::unique_ptr<Server>> m_Servers;
   std::vector<std::unique_ptr<EntryNode>> m_Vms;
