A choice orders only the holders of a key

Cause: every attempt sorted all upstreams of its service, though the first sound one mostly takes the request. Change: only the holders are put in order; strangers and doubtful ones when they are asked. The count of upstreams considered, which nothing read, is gone.

--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -105,8 +105,11 @@
          double(One.m_Facts.m_Slots) * Tuning.m_StrangerLoad;
 }
 
-std::vector<Ranked> rank(const ChoiceInput &Input, const UpstreamTable &Table,
-                         const Placement &Here, const ChoiceTuning &Tuning) {
+/// \brief The upstreams that may take the request, in no order.
+std::vector<Ranked> candidates(const ChoiceInput &Input,
+                               const UpstreamTable &Table,
+                               const Placement &Here,
+                               const ChoiceTuning &Tuning) {
   std::span<const UpstreamPtr> All = Table.of(Input.m_To);
   Duration Median = medianLatency(All, Tuning.m_Judgement);
   bool Large = Input.m_MeanAnswerBytes > Tuning.m_LargeAnswerBytes;
@@ -131,30 +134,33 @@
   if (double(Ejected) > double(Result.size()) * Tuning.m_MostEjected)
     for (Ranked &One : Result)
       One.m_Ejected = false;
-  std::sort(Result.begin(), Result.end(),
-            [](const Ranked &Left, const Ranked &Right) {
-              if (Left.m_Tier != Right.m_Tier)
-                return Left.m_Tier < Right.m_Tier;
-              return Left.m_Rank > Right.m_Rank;
-            });
   return Result;
 }
 
+/// \brief The order in which a key asks upstreams.
+bool before(const Ranked &Left, const Ranked &Right) {
+  if (Left.m_Tier != Right.m_Tier)
+    return Left.m_Tier < Right.m_Tier;
+  return Left.m_Rank > Right.m_Rank;
+}
+
+/// \brief Neither slow, cold nor ejected.
+bool sound(const Ranked &One) { return !One.m_Doubtful && !One.m_Ejected; }
+
 Choice chosen(const Ranked &To, const ChoiceInput &Input,
-              const ChoiceTuning &Tuning, unsigned Considered) {
+              const ChoiceTuning &Tuning) {
   Choice Result;
   Result.m_To = UpstreamPtr(To.m_One);
   Result.m_Load = To.m_One->load(Input.m_Now, Tuning.m_Judgement);
   Result.m_Overflows = To.m_Tier == Tier::Second;
-  Result.m_Considered = Considered;
   return Result;
 }
 
 /// \brief Drops the last tier, unless nothing else is left.
 void keepToFirstTiers(std::vector<Ranked> &Order) {
-  if (!Order.empty() && Order.front().m_Tier != Tier::Second)
-    std::erase_if(Order,
-                  [](const Ranked &One) { return One.m_Tier == Tier::Second; });
+  auto Last = [](const Ranked &One) { return One.m_Tier == Tier::Second; };
+  if (!std::all_of(Order.begin(), Order.end(), Last))
+    std::erase_if(Order, Last);
 }
 
 } // namespace
@@ -182,7 +188,7 @@
 Choice chooseByKeyNearFirst(const ChoiceInput &Input,
                             const UpstreamTable &Table, const Placement &Here,
                             const ChoiceTuning &Tuning) {
-  std::vector<Ranked> Order = rank(Input, Table, Here, Tuning);
+  std::vector<Ranked> Order = candidates(Input, Table, Here, Tuning);
   if (!Input.m_MayOverflow)
     keepToFirstTiers(Order);
   Choice Refused;
@@ -191,35 +197,37 @@
     Refused.m_ComeBack = 500ms;
     return Refused;
   }
-  unsigned Holders = 0;
+  auto Doubtful = std::partition(Order.begin(), Order.end(), sound);
+  // Mostly a holder takes the request, and the others need no order.
+  auto Strangers =
+      Order.begin() +
+      std::min<std::ptrdiff_t>(Tuning.m_Holders, Doubtful - Order.begin());
+  std::partial_sort(Order.begin(), Strangers, Doubtful, before);
   Duration Soonest = 1s;
-  for (const Ranked &One : Order) {
-    if (One.m_Doubtful || One.m_Ejected)
-      continue;
-    if (++Holders > Tuning.m_Holders)
-      break;
+  for (const Ranked &One : std::span(Order.begin(), Strangers)) {
     if (worthSending(*One.m_One, Input, Tuning))
-      return chosen(One, Input, Tuning, Holders);
+      return chosen(One, Input, Tuning);
     Soonest = std::min(Soonest, expected(*One.m_One, Input, Tuning));
   }
-  for (const Ranked &One : Order)
-    if (!One.m_Doubtful && !One.m_Ejected &&
-        hasAmpleRoom(*One.m_One, Input, Tuning))
-      return chosen(One, Input, Tuning, Holders);
-  for (const Ranked &One : Order)
-    if (One.m_Doubtful && !One.m_Ejected &&
-        hasFreeSlot(*One.m_One, Input, Tuning) &&
+  std::sort(Strangers, Doubtful, before);
+  for (const Ranked &One : std::span(Strangers, Doubtful))
+    if (hasAmpleRoom(*One.m_One, Input, Tuning))
+      return chosen(One, Input, Tuning);
+  std::sort(Doubtful, Order.end(), before);
+  for (const Ranked &One : std::span(Doubtful, Order.end()))
+    if (!One.m_Ejected && hasFreeSlot(*One.m_One, Input, Tuning) &&
         takeColdToken(*One.m_One, Input, Tuning))
-      return chosen(One, Input, Tuning, Holders);
+      return chosen(One, Input, Tuning);
   Refused.m_Why = NoUpstream::Full;
   Refused.m_ComeBack = std::clamp<Duration>(Soonest / 2, 80ms, 400ms);
-  Refused.m_Considered = Holders;
   return Refused;
 }
 
 Choice chooseLeastLoad(const ChoiceInput &Input, const UpstreamTable &Table,
                        const Placement &Here, const ChoiceTuning &Tuning) {
-  std::vector<Ranked> Order = rank(Input, Table, Here, Tuning);
+  std::vector<Ranked> Order = candidates(Input, Table, Here, Tuning);
+  // The key's order decides between equal loads.
+  std::sort(Order.begin(), Order.end(), before);
   Choice Result;
   const Ranked *Best = nullptr;
   for (const Ranked &One : Order)
@@ -228,7 +236,7 @@
                       Best->m_One->load(Input.m_Now, Tuning.m_Judgement)))
       Best = &One;
   if (Best)
-    return chosen(*Best, Input, Tuning, unsigned(Order.size()));
+    return chosen(*Best, Input, Tuning);
   Result.m_Why = Order.empty() ? NoUpstream::Unknown : NoUpstream::Full;
   Result.m_ComeBack = 500ms;
   return Result;
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -76,7 +76,6 @@
   Duration m_ComeBack{};
   double m_Load = 0;        ///< Estimated load of the chosen upstream.
   bool m_Overflows = false; ///< Chosen outside of the key's regions.
-  unsigned m_Considered = 0;
 };
 
 /// \brief A rule that picks an upstream; a row of the strategy table.
