Feeds of a VM that does not follow the store wait for a signal

Cause: each of three feed loops woke 20 times a second on every VM to see whether the VM follows the store by now; the row's put-and-apply stood in three places. Change: a whole reading wakes them.

--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -43,7 +43,7 @@
 }
 
 Belief::Belief(GatewayState &State, UpstreamPool &Pool, RowStore &Store)
-    : m_State(State), m_Pool(Pool), m_Store(Store) {}
+    : m_State(State), m_Pool(Pool), m_Store(Store), m_FeedMayGoOn(State.m_Io) {}
 
 void Belief::start() {
   const StoreTables &Tables = m_State.m_Decoder.m_Tables;
@@ -98,13 +98,13 @@
   RowCache &Cache = m_Tables[Table];
   for (StoreRow &Row : All.m_Rows) {
     Row.m_Table = Table;
-    if (Cache.put(Row))
-      apply(Row, storeJustBack());
+    take(Row, storeJustBack());
   }
   dropMissing(Table, All.m_Rows, All.m_Version);
   Cache.readWhole(All.m_Version);
   std::uint64_t &From = m_FeedFrom[Table];
   From = std::max(From, All.m_Version);
+  m_FeedMayGoOn.notify();
   co_return true;
 }
 
@@ -146,18 +146,18 @@
     if (After == 0 || !m_Reads) {
       // The first full reading is still under way, or others follow.
       m_FeedFrom[Table] = 0;
-      co_await sleepFor(m_State.m_Io, 50ms);
+      co_await m_FeedMayGoOn.wait();
       continue;
     }
-    bool Large = m_Tables[Table].rows().size() * PerRow > ReadVmsEvery;
-    StoreRead News = co_await m_Store.changes(Table, After,
-                                              Large ? ShortFeedWait : FeedWait);
+    Duration Pause =
+        pauseBetweenReadings(ReadVmsEvery, m_Tables[Table].rows().size());
+    StoreRead News = co_await m_Store.changes(
+        Table, After, Pause > ReadVmsEvery ? ShortFeedWait : FeedWait);
     noteStore(News, "feed " + Table);
     if (News.m_End == StoreEnd::Done) {
       for (StoreRow &Row : News.m_Rows) {
         Row.m_Table = Table;
-        if (m_Tables[Table].put(Row))
-          apply(Row, storeJustBack());
+        take(Row, storeJustBack());
       }
       m_Tables[Table].reached(News.m_Version);
       std::uint64_t &From = m_FeedFrom[Table];
--- a/src/gateway/belief.h
+++ b/src/gateway/belief.h
@@ -63,7 +63,9 @@
   void noteReads(bool Reads);
   void noteStore(const StoreRead &Read, std::string_view Call);
 
+  /// \brief Applies a row if it is newer than what is known.
   /// \param Doubtful The row is gone, but may soon be written again.
+  void take(const StoreRow &Row, bool Doubtful);
   void apply(const StoreRow &Row, bool Doubtful);
   void applyOperator(const StoreRow &Row);
   void applyEvacuations();
@@ -81,6 +83,7 @@
   std::map<std::string, RowCache> m_Tables;
   std::set<std::string> m_RemovedLater; ///< Upstreams whose removal waits.
   std::map<std::string, std::uint64_t> m_FeedFrom; ///< 0: read in full first.
+  Signal m_FeedMayGoOn; ///< A table was read in full.
 
   bool m_Reads = true; ///< Fleet::mustRead() when it was last asked.
   bool m_StoreReached = false;
--- a/src/gateway/belief_rows.cpp
+++ b/src/gateway/belief_rows.cpp
@@ -18,6 +18,11 @@
   }
 }
 
+void Belief::take(const StoreRow &Row, bool Doubtful) {
+  if (m_Tables[Row.m_Table].put(Row))
+    apply(Row, Doubtful);
+}
+
 void Belief::apply(const StoreRow &Row, bool Doubtful) {
   const StoreTables &Tables = m_State.m_Decoder.m_Tables;
   if (Row.m_Table == Tables.m_Operators)
@@ -196,8 +201,7 @@
     const StoreRow &Row = One.m_Row;
     if (std::find(Names.begin(), Names.end(), Row.m_Table) == Names.end())
       continue;
-    if (m_Tables[Row.m_Table].put(Row))
-      apply(Row, One.m_Doubtful);
+    take(Row, One.m_Doubtful);
     ByTable[Row.m_Table].push_back(Row);
   }
   for (std::size_t I = 0; I < Names.size() && I < Rows.m_Reach.size(); ++I) {
