--- a/tests/unit/fleet_members_test.cpp
+++ b/tests/unit/fleet_members_test.cpp
@@ -143,14 +143,14 @@
   unsigned m_Round = 0;
   std::size_t m_Datagrams = 0;
 
-  Crowd(unsigned Regions, unsigned VmsEach) {
+  Crowd(unsigned Regions, unsigned VmsEach, const FleetTuning &Tuning = {}) {
     std::vector<EntryVm> All;
     for (unsigned R = 0; R < Regions; ++R)
       for (unsigned I = 0; I < VmsEach; ++I)
         All.push_back(vm("vm" + std::to_string(I) + "-" + std::to_string(R),
                          "r" + std::to_string(R)));
     for (const EntryVm &Self : All) {
-      m_Views.emplace_back(Self, FleetTuning());
+      m_Views.emplace_back(Self, Tuning);
       for (const EntryVm &Other : All)
         m_Views.back().meet(Other);
     }
@@ -214,6 +214,16 @@
   BOOST_TEST(Wrong == 0U);
 }
 
+// Control: what each hears for itself is not enough.
+BOOST_AUTO_TEST_CASE(RegionOf105LosesSightWithoutWordOfTheOthers) {
+  FleetTuning Silent;
+  Silent.m_MostAges = 0;
+  Crowd Of(4, 105, Silent);
+  for (int I = 0; I < 40; ++I)
+    Of.beat();
+  BOOST_TEST(Of.holdAlive(0) < 90U);
+}
+
 BOOST_AUTO_TEST_CASE(AgesExtendOnlyTheRunThatWasHeard) {
   Fleet Of(vm("a", "r"), {});
   for (int I = 0; I < 30; ++I)
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -88,4 +88,19 @@
   BOOST_TEST(All.m_Late < Of.m_Baseline.m_All.m_Late);
 }
 
+// The control of admission and of the number of holders: the tuning before,
+// with two holders a key and refusal from 0.75 of the target.
+BOOST_AUTO_TEST_CASE(OverloadEverywhereIsServedBetterThanByTwoCautiousHolders) {
+  LoadPlan Former;
+  Former.m_Tuning.m_Holders = 2;
+  Former.m_Tuning.m_TargetPart = 0.75;
+  LoadResult Now = play("overload-everywhere", steer::chooseByKeyNearFirst);
+  LoadResult Before =
+      play("overload-everywhere", steer::chooseByKeyNearFirst, Former);
+  BOOST_TEST(Now.m_All.inTarget() > Before.m_All.inTarget());
+  BOOST_TEST(Now.worstRegion() > Before.worstRegion());
+  BOOST_TEST(Now.m_All.m_Refused < Before.m_All.m_Refused);
+  BOOST_TEST((Now.m_ColdWork < Before.m_ColdWork));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
