--- a/src/core/errors.h
+++ b/src/core/errors.h
@@ -45,7 +45,7 @@
 
 /// \brief What a caller may conclude about its request.
 ///
-/// \details `NotRun` is a promise: the request was not run and never will be.
+/// \details `NotRun` means that the request was not run and never will be.
 enum class Outcome : std::uint8_t { Done, NotRun, Unknown };
 
 /// \brief How one error kind is answered.
--- a/src/gateway/belief.cpp
+++ b/src/gateway/belief.cpp
@@ -17,7 +17,7 @@
 /// readings take 44 KB/s at most.
 constexpr Duration PerRow = 8ms;
 /// Full readings that find what a feed has missed. Upstreams must be known to
-/// leave within 2 s at the strictest site.
+/// leave within 2 s at the strictest deployment.
 constexpr Duration ReadUpstreamsEvery = 3s;
 constexpr Duration ReadOperatorsEvery = 3s;
 constexpr Duration ReadVmsEvery = 8s;
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -33,7 +33,7 @@
 bool serverError(unsigned Status) { return Status >= 500; }
 bool success(unsigned Status) { return Status >= 200 && Status < 300; }
 /// \brief Statuses that tell a caller that its request has not run.
-bool promisesNotRun(unsigned Status) {
+bool meansNotRun(unsigned Status) {
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
@@ -316,8 +316,9 @@
 
 awaitable<bool> Exchange::deliver(HeldAnswer Held) {
   unsigned Status = Held.m_Head.m_Status;
-  // Without the upstream's own word, these statuses would be a false promise.
-  if (promisesNotRun(Status) && !m_Route->idempotent()) {
+  // Without the upstream's own word, these statuses would say falsely that it
+  // has not run.
+  if (meansNotRun(Status) && !m_Route->idempotent()) {
     m_MayHaveRun = true;
     co_return co_await refuse(ErrorKind::UpstreamLost, Duration::zero(),
                               "unproved-refusal");
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,7 +40,7 @@
       std::chrono::seconds(Now.tv_sec) + std::chrono::nanoseconds(Now.tv_nsec));
 }
 
-/// \brief Time that the machine was suspended since its boot.
+/// \brief Time that the VM was suspended since its boot.
 Duration suspendedTime() {
   return clockNow(CLOCK_BOOTTIME) - clockNow(CLOCK_MONOTONIC);
 }
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -19,7 +19,7 @@
   UpstreamJudgement m_Judgement;
   /// Upstreams that share a key's requests. An upstream keeps the state of a
   /// bounded number of keys; with more holders of each key others are pushed
-  /// out. One did best in the load model's overload and on the users' bench.
+  /// out. See docs/design/08-load-model-and-soak.md.
   unsigned m_Holders = 1;
   /// Part of the time to the target latency that waiting and work may fill by
   /// estimate. Above 1, as the mean work counts that on keys not held, which
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -35,7 +35,8 @@
   /// VMs of a region that follow the store and tell the others.
   unsigned m_Readers = 2;
   /// A reader not heard for this long is replaced. A change must be in force
-  /// within 2 s at the strictest site; reading anew takes a fraction of one.
+  /// within 2 s at the strictest deployment; reading anew takes a fraction of
+  /// one.
   Duration m_ReaderSilentAfter = 1s;
   std::size_t m_MostNamed = 12; ///< Entry VMs in one look-up answer.
   std::size_t m_LeastNamed = 2; ///< Other regions fill up to this.
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -96,7 +96,8 @@
   for (unsigned Vm = 0; Vm < m_Vms.size(); ++Vm)
     if (m_Vms[Vm].m_Callers == List->items()[Which].asText())
       co_return Vm;
-  m_Log.m_Broken.push_back("a look-up named " + List->items()[Which].asText());
+  m_Log.m_Violations.push_back("a look-up named " +
+                               List->items()[Which].asText());
   co_return std::nullopt;
 }
 
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Promises judged from the outside.
+/// Invariants judged from the outside.
 #include "soak/ledger.h"
 
 #include <algorithm>
@@ -49,7 +49,7 @@
 }
 
 std::vector<std::string> Ledger::judge(const Bounds &By) const {
-  Lines Result = m_Broken;
+  Lines Result = m_Violations;
   std::set<std::string> Sent;
   for (const Attempt &One : m_Attempts) {
     Sent.insert(One.m_Id);
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -1,5 +1,5 @@
 /// \file
-/// What callers and upstreams saw, and the promises judged by it.
+/// What callers and upstreams saw, and the invariants judged by it.
 #pragma once
 
 #include "core/time.h"
@@ -65,9 +65,9 @@
   TimePoint m_Until = TimePoint::max(); ///< Taken back, or overtaken.
 };
 
-/// \brief Times within which a promise holds.
+/// \brief Times within which an invariant holds.
 struct Bounds {
-  Duration m_Leaving = 2s; ///< Strictest users' bound for leaving upstreams.
+  Duration m_Leaving = 2s; ///< Bound of the strictest deployment.
   Duration m_Evacuation = 5s;
   Duration m_Configuration = 6s; ///< docs/CAPACITY.md.
   /// An answer after its route's timeout; generous, as the machine may be busy.
@@ -89,9 +89,9 @@
   std::vector<Harm> m_StoreHarms; ///< The store or any way to it.
   std::vector<Harm> m_LinkHarms;  ///< Ways to upstreams.
   std::vector<Order> m_Orders;
-  std::vector<std::string> m_Broken; ///< Found while running.
+  std::vector<std::string> m_Violations; ///< Found while running.
 
-  /// \brief Judges everything. \returns A line for each broken promise.
+  /// \brief Judges everything. \returns A line for each violation.
   [[nodiscard]] std::vector<std::string> judge(const Bounds &By) const;
 
 private:
--- a/tests/soak/site.cpp
+++ b/tests/soak/site.cpp
@@ -225,8 +225,8 @@
       bool InExec =
           *Status == SIGHUP && (One.m_HungUpAt < Loaded || PausedInExec);
       if ((!One.m_Stopping && !InExec) || (*Status != 0 && !InStart && !InExec))
-        m_Log.m_Broken.push_back(Name + " ended with status " +
-                                 std::to_string(*Status));
+        m_Log.m_Violations.push_back(Name + " ended with status " +
+                                     std::to_string(*Status));
       One.m_Process.reset();
       Of.m_Ended.push_back(steadyNow());
       continue;
@@ -237,7 +237,7 @@
       return Span.m_To >= One.m_StoppedAt;
     });
     if (!Paused)
-      m_Log.m_Broken.push_back(Name + " still ran after its grace");
+      m_Log.m_Violations.push_back(Name + " still ran after its grace");
     kill(I);
   }
 }
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -89,8 +89,8 @@
     while (m_Callers.open() > 0)
       co_await steer::sleepFor(m_Io, 50ms);
     if (std::uint64_t Peak = m_Site.peakKib(); Peak > MostMemoryKib)
-      m_Log.m_Broken.push_back("a process took " + std::to_string(Peak) +
-                               " KiB");
+      m_Log.m_Violations.push_back("a process took " + std::to_string(Peak) +
+                                   " KiB");
     m_Io.stop();
   }
 
@@ -113,8 +113,8 @@
         if (!Served)
           co_await steer::sleepFor(m_Io, 100ms);
         if (steer::steadyNow() > End) {
-          m_Log.m_Broken.push_back("vm " + std::to_string(Vm) +
-                                   " didn't serve all kinds " + When);
+          m_Log.m_Violations.push_back("vm " + std::to_string(Vm) +
+                                       " didn't serve all kinds " + When);
           co_return;
         }
       }
@@ -142,27 +142,27 @@
   std::cout << std::endl;
 }
 
-/// \returns Whether all promises were kept.
+/// \returns Whether there was no violation.
 bool playSeed(Options With, std::uint64_t Seed) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "soak-XXXXXX").string();
   With.m_Plan.m_Folder = mkdtemp(Template.data());
-  std::vector<std::string> Broken;
+  std::vector<std::string> Violations;
   {
     Play One(With, Seed);
-    Broken = One.run();
+    Violations = One.run();
     report(One, Seed);
     std::ofstream Timeline(With.m_Plan.m_Folder + "/timeline.log");
     for (const std::string &Line : One.faults().timeline())
       Timeline << Line << '\n';
   }
-  for (const std::string &Line : Broken)
-    std::cout << "  broken: " << Line << std::endl;
-  if (Broken.empty() && !With.m_Keep)
+  for (const std::string &Line : Violations)
+    std::cout << "  violated: " << Line << std::endl;
+  if (Violations.empty() && !With.m_Keep)
     std::filesystem::remove_all(With.m_Plan.m_Folder);
   else
     std::cout << "  logs: " << With.m_Plan.m_Folder << std::endl;
-  return Broken.empty();
+  return Violations.empty();
 }
 
 /// \brief Plays the seeds that failed once. \returns How many fail now.
@@ -205,7 +205,7 @@
   auto Count = std::uint64_t(Words["--seeds"].asLong());
   for (std::uint64_t Seed = First; Seed < First + Count; ++Seed)
     Failed += playSeed(With, Seed) ? 0 : 1;
-  std::cout << (Failed == 0 ? "all promises kept"
+  std::cout << (Failed == 0 ? "no violation"
                             : std::to_string(Failed) + " seeds failed")
             << std::endl;
   return Failed == 0 ? 0 : 1;
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -328,7 +328,7 @@
          Of.at(8s, [&Of] { Of.setLoad("large", 4); });
          Of.at(14s, [&Of] { Of.setLoad("large", 1); });
        }},
-      {"moved-zone",
+      {"moved-callers",
        [](LoadModel &Of) {
          Of.at(8s, [&Of] {
            Of.setLoad("large", 0.4);
@@ -353,7 +353,7 @@
        [](LoadModel &Of) {
          Of.at(6s, [&Of] { Of.setLoss("other", 1, 0.5); });
        }},
-      {"cold-zone",
+      {"cold-region",
        [](LoadModel &Of) { Of.at(8s, [&Of] { Of.forgetKeys("large"); }); }},
       {"all-entry-vms-reborn",
        [](LoadModel &Of) { Of.at(8s, [&Of] { Of.restartVms(); }); }},
--- a/tests/unit/belief_test.cpp
+++ b/tests/unit/belief_test.cpp
@@ -89,7 +89,7 @@
   BOOST_TEST(Cache.put({"t", "a", "v", 13, false}));
 }
 
-// A day broke this way: the second page of a long reading was newer than a
+// Seen: the second page of a long reading was newer than a
 // change in the first page, and the VM's peers never asked for that change.
 BOOST_AUTO_TEST_CASE(ARowFromALaterPageDoesNotExtendTheReach) {
   RowCache Cache;
@@ -129,7 +129,7 @@
 
 BOOST_AUTO_TEST_SUITE(RowsFromPeers)
 
-// Days broke this way: a VM that had once lost the store took every removal
+// Seen: a VM that had once lost the store took every removal
 // that a peer told it for one that may be taken back, and sent on for 2.2 s.
 BOOST_AUTO_TEST_CASE(APeersRemovalHoldsAtOnceThoughTheOwnStoreIsLost) {
   BeliefRig R;
@@ -139,7 +139,7 @@
   BOOST_TEST(!R.known());
 }
 
-// A day broke this way: a VM lost the store, left it to two readers, and
+// Seen: a VM lost the store, left it to two readers, and
 // followed it again 19 s later; it took the store for one just back.
 BOOST_AUTO_TEST_CASE(AnOldLossOfTheStoreDoesNotMakeRemovalsDoubtful) {
   BeliefRig R;
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -212,7 +212,7 @@
   BOOST_TEST(!Early);
 }
 
-// A day broke this way: an answer that waited for its turn still held its
+// Seen: an answer that waited for its turn still held its
 // upstream connection, which by then carried another caller's request.
 BOOST_AUTO_TEST_CASE(KeptConnectionIsNotCutWhenAnEarlierCallerLeaves) {
   ExchangeRig R;
--- a/tests/unit/fleet_members_test.cpp
+++ b/tests/unit/fleet_members_test.cpp
@@ -103,7 +103,7 @@
   BOOST_TEST(Readers(Usual).size() == 4);
 }
 
-// A day broke this way: both readers of a region were killed at once, and the
+// Seen: both readers of a region were killed at once, and the
 // others learned of the next configuration 2.2 s after it was accepted.
 BOOST_AUTO_TEST_CASE(ReadersThatFellSilentAreReplacedWithinASecond) {
   Fleet Of(vm("self", "r"), {});
--- a/tests/unit/ledger_test.cpp
+++ b/tests/unit/ledger_test.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// The soak's judge: each promise, once kept and once broken.
+/// The soak's judge: each invariant, once kept and once violated.
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
@@ -40,7 +40,7 @@
   }
   Attempt &order() { return m_Log.m_Attempts[1]; }
 
-  /// \brief Judges, and expects one broken promise that says \p What.
+  /// \brief Judges, and expects one violation that says \p What.
   void breaks(const std::string &What) {
     std::vector<std::string> Found = m_Log.judge(m_By);
     BOOST_REQUIRE(Found.size() == 1);
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -64,13 +64,13 @@
 
 BOOST_AUTO_TEST_CASE(Calm) { checkBetter(compare("calm")); }
 BOOST_AUTO_TEST_CASE(Burst) { checkBetter(compare("burst")); }
-BOOST_AUTO_TEST_CASE(MovedZone) { checkBetter(compare("moved-zone")); }
+BOOST_AUTO_TEST_CASE(MovedCallers) { checkBetter(compare("moved-callers")); }
 BOOST_AUTO_TEST_CASE(SmallRegionAtItsPeak) {
   checkBetter(compare("small-region-at-its-peak"));
 }
 BOOST_AUTO_TEST_CASE(SlowTenth) { checkBetter(compare("slow-tenth")); }
 BOOST_AUTO_TEST_CASE(GreyUpstream) { checkBetter(compare("grey-upstream")); }
-BOOST_AUTO_TEST_CASE(ColdZone) { checkBetter(compare("cold-zone")); }
+BOOST_AUTO_TEST_CASE(ColdRegion) { checkBetter(compare("cold-region")); }
 BOOST_AUTO_TEST_CASE(AllEntryVmsReborn) {
   checkBetter(compare("all-entry-vms-reborn"));
 }
