Store readers of a large fleet are known by relayed ages

Cause: a VM counted a reader of the store only if it had heard that VM itself within a second. With 98 VMs a region a given peer is heard every eight seconds, so VMs took over, met again and stepped back, each time with full reads. Change: the time since each reader reached the store travels with the heartbeats of its region. A reader stays one until enough VMs of higher rank read; missing readers are replaced after 2.5 s, by groups of four VMs. Only the first reader of a region reads tables whole at the full rate. After a start the feeds wait until roles have settled. Changes of many upstreams by one read are logged as 16 lines and a count. Ruled out: a longer time limit on direct heartbeats (a dead reader is missed for 6 s and it grows wrong again at 1,000 VMs); more recipients for a reader's heartbeats (over the limit of control traffic).

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -89,6 +89,8 @@
   Result.m_Sender.m_Ready = m_State.ready();
   Result.m_Sender.m_Leaving = m_State.m_Leaving;
   Result.m_Sender.m_FollowsStore = m_Replica.readsStore();
+  if (Region == m_State.m_Settings.m_Placement.m_Region)
+    Result.m_ReaderAges = m_State.m_Fleet.readerAgesToSend(steadyNow());
   Result.m_ConfigVersion = m_State.m_Routes ? m_State.m_Routes->m_Version : 0;
   Result.m_SyncedVersions = m_Replica.syncedVersions();
   bool AllUpstreams = Region == m_State.m_Settings.m_Placement.m_Region ||
@@ -205,6 +207,9 @@
                                Heartbeat.m_UpstreamLoads, Now);
   bool IsLocal =
       Heartbeat.m_Sender.m_Region == m_State.m_Settings.m_Placement.m_Region;
+  if (IsLocal)
+    for (const PeerAge &Age : Heartbeat.m_ReaderAges)
+      m_State.m_Fleet.receivedReaderAge(Age, Now);
   for (const ServiceShare &Share : Heartbeat.m_ServiceShares)
     if (IsLocal)
       m_State.m_LocalShares.receivedLocalShare(Share.m_ServiceHash,
--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -24,6 +24,12 @@
 constexpr Duration UpstreamsReadInterval = 3s;
 constexpr Duration OperatorsReadInterval = 3s;
 constexpr Duration VmsReadInterval = 8s;
+/// Readers other than the first one of a region rely on their feeds; their full
+/// reads are this many times rarer.
+constexpr int OtherReaderIntervalFactor = 2;
+/// After its start, a VM waits this long for the heartbeats of other readers
+/// before it follows the feeds.
+constexpr Duration RoleSettleTime = 1500ms;
 /// Time within which a VM notices that it has to follow the store.
 constexpr Duration RoleCheckInterval = 200ms;
 constexpr Duration RetryDelay = 300ms;
@@ -111,6 +117,7 @@
     putRow(Row, storeJustReturned());
   }
   removeMissing(Table, Result.m_Rows, Result.m_Version);
+  finishBatch("read " + Table);
   Cache.recordFullRead(Result.m_Version);
   std::uint64_t &FeedVersion = m_FeedVersions[Table];
   FeedVersion = std::max(FeedVersion, Result.m_Version);
@@ -135,24 +142,38 @@
                                            Duration ReadInterval) {
   while (!m_State.m_Leaving) {
     Duration Pause = RoleCheckInterval;
-    bool ReadsStore = m_State.m_Fleet.mustFollowStore(steadyNow());
-    setReadsStore(ReadsStore);
-    if (ReadsStore)
-      Pause =
-          co_await readTable(Table)
-              ? fullReadInterval(ReadInterval, m_RowCaches[Table].rows().size())
-              : RetryDelay;
+    ReaderRole Role = currentRole();
+    setReadsStore(Role != ReaderRole::None);
+    if (m_ReadsStore)
+      Pause = co_await readTable(Table)
+                  ? fullReadInterval(ReadInterval *
+                                         (Role == ReaderRole::First
+                                              ? 1
+                                              : OtherReaderIntervalFactor),
+                                     m_RowCaches[Table].rows().size())
+                  : RetryDelay;
     // Wakes up early if this VM has to start or stop following the store.
     for (TimePoint Until = steadyNow() + Pause; steadyNow() < Until;) {
       co_await sleepFor(m_State.m_Io, std::min(Pause, RoleCheckInterval));
-      bool Changed = m_State.m_Fleet.mustFollowStore(steadyNow()) != ReadsStore;
-      if (std::exchange(m_FullReadDue[Table], false) || Changed)
+      ReaderRole Now = currentRole();
+      bool MoreDuties = Now > Role;
+      if (std::exchange(m_FullReadDue[Table], false) || MoreDuties ||
+          Now == ReaderRole::None)
         break;
     }
   }
 }
 
+StoreReplica::ReaderRole StoreReplica::currentRole() const {
+  TimePoint Now = steadyNow();
+  if (!m_State.m_Fleet.mustFollowStore(Now, m_ReadsStore))
+    return ReaderRole::None;
+  return m_State.m_Fleet.isFirstReader(Now) ? ReaderRole::First
+                                            : ReaderRole::Other;
+}
+
 awaitable<void> StoreReplica::feedLoop(std::string Table) {
+  co_await sleepFor(m_State.m_Io, RoleSettleTime);
   while (!m_State.m_Leaving) {
     std::uint64_t After = m_FeedVersions[Table];
     if (After == 0 || !m_ReadsStore) {
@@ -172,6 +193,7 @@
         Row.m_Table = Table;
         putRow(Row, storeJustReturned());
       }
+      finishBatch("feed " + Table);
       m_RowCaches[Table].advanceSyncedVersion(Changes.m_Version);
       std::uint64_t &FeedVersion = m_FeedVersions[Table];
       FeedVersion = std::max(FeedVersion, Changes.m_Version);
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -8,6 +8,7 @@
 #include "gateway/state.h"
 #include "gateway/upstream_pool.h"
 #include "inner/heartbeat_codec.h"
+#include "observe/log.h"
 #include "steer/row_cache.h"
 
 #include <map>
@@ -62,6 +63,10 @@
   /// this time after it, if their upstreams are alive.
   static constexpr Duration ReregistrationTime = 2200ms;
 
+  /// \brief Duties of this VM towards the store, in increasing order.
+  enum class ReaderRole : std::uint8_t { None, Other, First };
+  [[nodiscard]] ReaderRole currentRole() const;
+
   awaitable<void> feedLoop(std::string Table);
   awaitable<void> fullReadLoop(std::string Table, Duration ReadInterval);
   awaitable<bool> readTable(std::string Table);
@@ -82,6 +87,11 @@
   void applyUpstreamRow(const StoreRow &Row, bool Tentative);
   void applyVmRow(const StoreRow &Row);
   void removeUpstream(const std::string &Id);
+  /// \brief Logs a change of one upstream, up to a number of lines per batch.
+  void logUpstreamChange(std::initializer_list<LogField> Fields);
+  /// \brief Ends the rows of one answer from \p Source: logs how many changes
+  /// were not listed.
+  void finishBatch(std::string_view Source);
   /// \brief Whether the store has just become reachable again: registrations
   /// that expired during the outage are about to be written again.
   [[nodiscard]] bool storeJustReturned() const;
@@ -97,8 +107,11 @@
   std::map<std::string, std::uint64_t> m_FeedVersions;
   Notifier m_FullReadDone; ///< Notified after a full read of a table.
 
-  bool m_ReadsStore =
-      true; ///< Result of the last Fleet::mustFollowStore() call.
+  /// Whether this VM has a reader's role; true until it hears of others.
+  bool m_ReadsStore = true;
+
+  /// Changes of upstreams since the last finishBatch().
+  unsigned m_BatchUpstreamLines = 0;
 
   bool m_StoreReachable = false;
   TimePoint m_StoreLostAt{};
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -7,6 +7,29 @@
 #include <algorithm>
 
 namespace mustardspoke::steer {
+namespace {
+
+/// Lines about single upstreams after one read; the first read of a large
+/// deployment brings more than a thousand of them.
+constexpr unsigned MaxUpstreamLinesPerBatch = 16;
+
+} // namespace
+
+void StoreReplica::logUpstreamChange(std::initializer_list<LogField> Fields) {
+  if (m_BatchUpstreamLines++ < MaxUpstreamLinesPerBatch)
+    logEvent(LogLevel::Info, "upstream-changed", Fields);
+}
+
+void StoreReplica::finishBatch(std::string_view Source) {
+  if (m_BatchUpstreamLines > MaxUpstreamLinesPerBatch)
+    logEvent(LogLevel::Info, "upstreams-changed",
+             {{"changes", std::to_string(m_BatchUpstreamLines)},
+              {"notListed",
+               std::to_string(m_BatchUpstreamLines - MaxUpstreamLinesPerBatch)},
+              {"known", std::to_string(m_State.m_Upstreams.size())},
+              {"source", std::string(Source)}});
+  m_BatchUpstreamLines = 0;
+}
 
 void StoreReplica::removeMissing(const std::string &Table,
                                  const std::vector<StoreRow> &Rows,
@@ -108,8 +131,7 @@
   if (Change->m_Kind == Kind::Leaving || Change->m_Kind == Kind::Restarted ||
       Change->m_Kind == Kind::Changed)
     m_Pool.closeIdle(*Change->m_Upstream);
-  logEvent(
-      LogLevel::Info, "upstream-changed",
+  logUpstreamChange(
       {{"upstream", Row.m_Key},
        {"change", Names[std::size_t(Change->m_Kind)]},
        {"service", Decoded.m_Facts->m_Service.str()},
@@ -123,8 +145,7 @@
   if (!Change)
     return;
   m_Pool.closeIdle(*Change->m_Upstream);
-  logEvent(LogLevel::Info, "upstream-changed",
-           {{"upstream", Id}, {"change", "removed"}});
+  logUpstreamChange({{"upstream", Id}, {"change", "removed"}});
 }
 
 awaitable<void> StoreReplica::removeUpstreamLater(std::string Id,
@@ -136,6 +157,7 @@
   if (Found != Rows.end() && Found->second.m_Removed &&
       Found->second.m_Version == Version)
     removeUpstream(Id);
+  finishBatch("delayed removal");
 }
 
 void StoreReplica::applyVmRow(const StoreRow &Row) {
@@ -221,6 +243,7 @@
     }
     Cache.advanceSyncedVersion(Rows.m_SyncedVersions[I]);
   }
+  finishBatch("peer");
 }
 
 } // namespace mustardspoke::steer
--- a/src/inner/heartbeat.capnp
+++ b/src/inner/heartbeat.capnp
@@ -39,6 +39,9 @@
   # Time since the last heartbeat of other VMs: 20 bits of the hash of the VM's
   # name, 4 bits of its incarnation, 8 bits of the age in tenths of a second.
   peerAges @16 :List(UInt32);
+  # Time since VMs of the sender's region reached the shared store; encoded as
+  # peerAges.
+  readerAges @17 :List(UInt32);
 }
 
 # Asks for the rows that changed after the given version of each table. An empty
--- a/src/inner/heartbeat.capnp.h
+++ b/src/inner/heartbeat.capnp.h
@@ -67,7 +67,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85e556a46b20eb6a, 4, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(85e556a46b20eb6a, 4, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -349,6 +349,9 @@
   inline bool hasPeerAges() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getPeerAges() const;
 
+  inline bool hasReaderAges() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getReaderAges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -471,6 +474,14 @@
   inline void adoptPeerAges(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownPeerAges();
 
+  inline bool hasReaderAges();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getReaderAges();
+  inline void setReaderAges( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setReaderAges(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initReaderAges(unsigned int size);
+  inline void adoptReaderAges(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownReaderAges();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1314,6 +1325,44 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasReaderAges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasReaderAges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Heartbeat::Reader::getReaderAges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::getReaderAges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setReaderAges( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setReaderAges(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::initReaderAges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptReaderAges(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Heartbeat::Builder::disownReaderAges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline bool RowsRequest::Reader::hasAfterVersions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/inner/heartbeat_codec.cpp
+++ b/src/inner/heartbeat_codec.cpp
@@ -73,6 +73,19 @@
   return Peer;
 }
 
+std::vector<PeerAge> decodePeerAges(capnp::List<std::uint32_t>::Reader List) {
+  std::vector<PeerAge> Ages;
+  for (std::uint32_t Word : List)
+    Ages.push_back(decodePeerAge(Word));
+  return Ages;
+}
+
+void encodePeerAges(capnp::List<std::uint32_t>::Builder List,
+                    std::span<const PeerAge> Ages) {
+  for (unsigned I = 0; I < List.size(); ++I)
+    List.set(I, encodePeerAge(Ages[I]));
+}
+
 Heartbeat toHeartbeat(inner::Heartbeat::Reader Message) {
   Heartbeat Result;
   Result.m_Sender.m_Vm = VmName(toString(Message.getVm()));
@@ -97,8 +110,8 @@
     Result.m_ServiceShares.push_back({Share.getServiceHash(),
                                       double(Share.getLocalShare()),
                                       double(Share.getUtilization())});
-  for (std::uint32_t Word : Message.getPeerAges())
-    Result.m_PeerAges.push_back(decodePeerAge(Word));
+  Result.m_PeerAges = decodePeerAges(Message.getPeerAges());
+  Result.m_ReaderAges = decodePeerAges(Message.getReaderAges());
   for (auto Address : Message.getKnownPeerAddresses())
     Result.m_KnownPeerAddresses.push_back(toString(Address));
   return Result;
@@ -174,9 +187,10 @@
     Shares[I].setLocalShare(float(Message.m_ServiceShares[I].m_LocalShare));
     Shares[I].setUtilization(float(Message.m_ServiceShares[I].m_Utilization));
   }
-  auto Ages = Root.initPeerAges(unsigned(Message.m_PeerAges.size()));
-  for (unsigned I = 0; I < Ages.size(); ++I)
-    Ages.set(I, encodePeerAge(Message.m_PeerAges[I]));
+  encodePeerAges(Root.initPeerAges(unsigned(Message.m_PeerAges.size())),
+                 Message.m_PeerAges);
+  encodePeerAges(Root.initReaderAges(unsigned(Message.m_ReaderAges.size())),
+                 Message.m_ReaderAges);
   auto Addresses = Root.initKnownPeerAddresses(
       unsigned(Message.m_KnownPeerAddresses.size()));
   for (unsigned I = 0; I < Addresses.size(); ++I)
--- a/src/inner/heartbeat_codec.h
+++ b/src/inner/heartbeat_codec.h
@@ -30,6 +30,8 @@
   std::vector<std::string> m_KnownPeerAddresses;
   /// Time since the last heartbeat of some other VMs.
   std::vector<PeerAge> m_PeerAges;
+  /// Time since VMs of the sender's region reached the store.
+  std::vector<PeerAge> m_ReaderAges;
   /// For each table: the version up to which the sender knows every row.
   std::vector<std::uint64_t> m_SyncedVersions;
 };
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -4,6 +4,7 @@
 #include "steer/fleet.h"
 
 #include <algorithm>
+#include <functional>
 #include <span>
 
 namespace mustardspoke::steer {
@@ -34,6 +35,7 @@
   m_ByHash[shortHash(Vm.m_Vm)] = &Known;
   if (!New && Known.m_State.m_Incarnation >= Vm.m_Incarnation)
     return;
+  m_StoreReaders.erase(shortHash(Vm.m_Vm));
   Known.m_State = Vm;
   Known.m_LastHeardAt.reset();
   Known.m_Loads.clear();
@@ -42,6 +44,7 @@
 
 void Fleet::removePeer(const VmName &Vm) {
   m_ByHash.erase(shortHash(Vm));
+  m_StoreReaders.erase(shortHash(Vm));
   m_Peers.erase(Vm);
 }
 
@@ -62,6 +65,10 @@
     Known.m_Contacted = false;
   Known.m_State = Vm;
   Known.m_LastHeardAt = Now;
+  if (Vm.m_Region == m_Self.m_Region && Vm.m_FollowsStore && !Vm.m_Leaving)
+    m_StoreReaders[shortHash(Vm.m_Vm)] = {shortIncarnation(Vm), Now};
+  else
+    m_StoreReaders.erase(shortHash(Vm.m_Vm));
   return Changed;
 }
 
@@ -196,24 +203,82 @@
   return HigherRanked < Senders;
 }
 
-bool Fleet::mustFollowStore(TimePoint Now) const {
-  std::uint64_t OwnRank = stableHash(m_Self.m_Vm.str());
-  unsigned HigherRanked = 0;
-  for (const auto &[Vm, Entry] : m_Peers)
-    if (isStoreReader(Vm, Now) && stableHash(Vm.str()) > OwnRank)
-      ++HigherRanked;
-  return HigherRanked < m_Tuning.m_ReadersPerRegion;
+bool Fleet::mustFollowStore(TimePoint Now, bool Follows) const {
+  std::uint32_t OwnRank = shortHash(m_Self.m_Vm);
+  auto CountReaders = [&](Duration MaxAge, bool HigherRankedOnly) {
+    return std::ranges::count_if(m_StoreReaders, [&](const auto &Entry) {
+      return Now - Entry.second.m_ReachedStoreAt < MaxAge &&
+             (!HigherRankedOnly || Entry.first > OwnRank);
+    });
+  };
+  auto Needed = std::ptrdiff_t(m_Tuning.m_ReadersPerRegion);
+  bool KeepRole = Follows || isSmall();
+  if (CountReaders(readerTimeout(), KeepRole) >= Needed)
+    return false;
+  return KeepRole ||
+         CountReaders(readerTimeout() + takeoverDelay(Now), false) < Needed;
+}
+
+Duration Fleet::takeoverDelay(TimePoint Now) const {
+  std::uint32_t OwnRank = shortHash(m_Self.m_Vm);
+  auto HigherRanked = std::ranges::count_if(m_Peers, [&](const auto &Entry) {
+    return Entry.second.m_State.m_Region == m_Self.m_Region &&
+           isLive(Entry.second, Now) && shortHash(Entry.first) > OwnRank;
+  });
+  return std::min(m_Tuning.m_TakeoverGroupDelay *
+                      (HigherRanked / m_Tuning.m_TakeoverGroupSize),
+                  m_Tuning.m_MaxTakeoverDelay);
+}
+
+bool Fleet::isFirstReader(TimePoint Now) const {
+  std::uint32_t OwnRank = shortHash(m_Self.m_Vm);
+  return std::ranges::none_of(m_StoreReaders, [&](const auto &Entry) {
+    return Entry.first > OwnRank &&
+           Now - Entry.second.m_ReachedStoreAt < readerTimeout();
+  });
 }
 
 bool Fleet::isStoreReader(const VmName &Vm, TimePoint Now) const {
-  auto Found = m_Peers.find(Vm);
-  if (Found == m_Peers.end())
-    return false;
-  const Peer &Entry = Found->second;
-  return Entry.m_LastHeardAt &&
-         Now - *Entry.m_LastHeardAt < m_Tuning.m_ReaderTimeout &&
-         Entry.m_State.m_FollowsStore && !Entry.m_State.m_Leaving &&
-         Entry.m_State.m_Region == m_Self.m_Region;
+  auto Found = m_StoreReaders.find(shortHash(Vm));
+  return Found != m_StoreReaders.end() &&
+         Now - Found->second.m_ReachedStoreAt < readerTimeout();
+}
+
+void Fleet::receivedReaderAge(const PeerAge &Report, TimePoint Now) {
+  if (Report.m_VmHash == shortHash(m_Self.m_Vm))
+    return;
+  StoreReader &Reader = m_StoreReaders[Report.m_VmHash];
+  Reader.m_IncarnationLow = Report.m_IncarnationLow;
+  Reader.m_ReachedStoreAt =
+      std::max(Reader.m_ReachedStoreAt, Now - Report.m_Age);
+  std::erase_if(m_StoreReaders, [&](const auto &Entry) {
+    return Now - Entry.second.m_ReachedStoreAt >
+           m_Tuning.m_LargeFleetReaderTimeout + m_Tuning.m_MaxTakeoverDelay;
+  });
+}
+
+std::vector<PeerAge> Fleet::readerAgesToSend(TimePoint Now) const {
+  std::vector<PeerAge> Result;
+  if (isSmall())
+    return Result;
+  for (const auto &[Hash, Reader] : m_StoreReaders)
+    if (Now - Reader.m_ReachedStoreAt < readerTimeout())
+      Result.push_back(
+          {Hash, Reader.m_IncarnationLow, Now - Reader.m_ReachedStoreAt});
+  // During a change of readers there may be many for a moment; receivers need
+  // only the ones that will remain.
+  std::ranges::sort(Result, std::ranges::greater{}, &PeerAge::m_VmHash);
+  Result.resize(
+      std::min<std::size_t>(Result.size(), 2 * m_Tuning.m_ReadersPerRegion));
+  return Result;
+}
+
+std::optional<Duration> Fleet::readerAge(TimePoint Now) const {
+  std::optional<Duration> Result;
+  for (const auto &[Hash, Reader] : m_StoreReaders)
+    Result = std::min(Result.value_or(Duration::max()),
+                      Now - Reader.m_ReachedStoreAt);
+  return Result;
 }
 
 void Fleet::dropSmallVms(std::vector<const EntryVm *> &Vms) const {
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -38,6 +38,16 @@
   /// deployment a change must take effect within 2 s; a full read by the
   /// replacement takes a fraction of a second.
   Duration m_ReaderTimeout = 1s;
+  /// The same in a large fleet, where reader ages arrive through several VMs.
+  /// The strictest deployment of that size allows 4 s for a change, of which
+  /// the replacement's read and the relay of rows take about one.
+  Duration m_LargeFleetReaderTimeout = 2500ms;
+  /// VMs of a large fleet that may replace a reader at the same moment, by
+  /// rank; each further group of this size waits longer, in case the VMs before
+  /// it have failed as well.
+  unsigned m_TakeoverGroupSize = 4;
+  Duration m_TakeoverGroupDelay = 500ms;
+  Duration m_MaxTakeoverDelay = 2s;
   std::size_t m_MaxLookupAddresses = 12;
   /// VMs of other regions are added up to this number.
   std::size_t m_MinLookupAddresses = 2;
@@ -144,9 +154,24 @@
   [[nodiscard]] bool maySendCold(std::uint64_t UpstreamHash,
                                  unsigned Senders) const;
 
-  /// \brief Whether this VM must read the store itself, because too few VMs
-  /// with a higher rank in its region do.
-  [[nodiscard]] bool mustFollowStore(TimePoint Now) const;
+  /// \brief Whether this VM must read the store itself, because too few other
+  /// VMs of its region do.
+  /// \param Follows Whether it does now. In a large fleet, a reader stays one
+  /// until enough VMs with a higher rank read the store.
+  [[nodiscard]] bool mustFollowStore(TimePoint Now, bool Follows) const;
+  /// \brief Whether no other known reader of the region has a higher rank. The
+  /// first reader verifies its feeds by frequent full reads; the others follow
+  /// only their feeds.
+  [[nodiscard]] bool isFirstReader(TimePoint Now) const;
+  /// \brief Processes a report, by a VM of the own region, of when a VM of
+  /// that region was last known to read the store.
+  void receivedReaderAge(const PeerAge &Report, TimePoint Now);
+  /// \brief Ages of the known readers of the own region, for heartbeats to its
+  /// VMs.
+  [[nodiscard]] std::vector<PeerAge> readerAgesToSend(TimePoint Now) const;
+  /// \brief Time since a reader of the own region is known to have reached the
+  /// store; nothing if none is known.
+  [[nodiscard]] std::optional<Duration> readerAge(TimePoint Now) const;
   /// \brief Whether \p Vm is a live VM of the own region that reads the store.
   [[nodiscard]] bool isStoreReader(const VmName &Vm, TimePoint Now) const;
 
@@ -170,11 +195,27 @@
   /// name and \p Number.
   [[nodiscard]] std::uint64_t pseudoRandom(std::uint64_t Number) const;
   [[nodiscard]] static PeerAge ageOf(const Peer &Entry, TimePoint Now);
+  [[nodiscard]] Duration readerTimeout() const noexcept {
+    return isSmall() ? m_Tuning.m_ReaderTimeout
+                     : m_Tuning.m_LargeFleetReaderTimeout;
+  }
+  /// \brief Additional time after which this VM replaces a missing reader.
+  [[nodiscard]] Duration takeoverDelay(TimePoint Now) const;
+
+  /// \brief A VM of the own region that reads the store.
+  struct StoreReader {
+    std::uint32_t m_IncarnationLow = 0;
+    /// Newest time at which it is known to have reached the store.
+    TimePoint m_ReachedStoreAt{};
+  };
 
   FleetTuning m_Tuning;
   std::map<VmName, Peer> m_Peers; ///< Never contains this VM.
   /// Points into m_Peers, whose nodes don't move; by PeerAge::m_VmHash.
   std::map<std::uint32_t, Peer *> m_ByHash;
+  /// By PeerAge::m_VmHash; never contains this VM. Knowledge of a reader needs
+  /// no heartbeat from it: its age travels with the heartbeats of other VMs.
+  std::map<std::uint32_t, StoreReader> m_StoreReaders;
 };
 
 } // namespace mustardspoke::steer
