Keys of a large fleet's small region move out faster and return slowly

Cause: in hou, with a fifteenth of the upstreams and a third of the callers, the share of keys served at home rose to all of them in the trough of the traffic and fell by only 0.026 a second towards the peak, when each key that moved was held nowhere else. Ruled out: the same for small fleets, whose shares follow within a second. Test: pattern small-region-in-waves, against the earlier steps.

--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -112,12 +112,15 @@
             : (Load.m_TotalLoad - Load.m_LocalLoad) / double(RemoteSlots);
     if (RemoteSlots > 0 && Current.m_RemoteUtilization)
       RemoteUtilization = *Current.m_RemoteUtilization;
+    double MaxStep = LargeFleet ? Tuning.m_LargeFleetMaxStep : Tuning.m_MaxStep;
+    bool RemoteBusy = RemoteUtilization > Tuning.m_HighUtilization;
     if (LocalUtilization > Tuning.m_HighUtilization &&
         LocalUtilization > RemoteUtilization + Tuning.m_UtilizationMargin)
-      Step = -Tuning.m_MaxStep;
+      Step = -MaxStep;
     else if (LocalUtilization < Tuning.m_LowUtilization ||
              LocalUtilization < RemoteUtilization)
-      Step = Tuning.m_MaxStep;
+      Step =
+          LargeFleet && !RemoteBusy ? Tuning.m_LargeFleetReturnStep : MaxStep;
     double Average = (Current.m_Share + Current.m_PeerShareSum) /
                      (Current.m_PeerShareCount + 1);
     Current.m_Share = std::clamp(Average + Step, Tuning.m_MinShare, 1.0);
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -17,6 +17,12 @@
   /// Largest change per step. Ten steps take two seconds, in which a region may
   /// move at most 0.15 of its requests to other regions.
   double m_MaxStep = 0.011;
+  /// The same for a large fleet; five of its steps take two seconds.
+  double m_LargeFleetMaxStep = 0.022;
+  /// Keys return to a region of a large fleet this slowly while other regions
+  /// have capacity for them: the own upstreams don't hold them any more, and at
+  /// the region's next peak they would have to move out again.
+  double m_LargeFleetReturnStep = 0.004;
   /// Keys move out when the utilization of the region's slots exceeds this
   /// and that of the other regions by the margin.
   double m_HighUtilization = 0.75;
@@ -60,6 +66,8 @@
   void recordOverflow(const ServiceName &Service);
 
   /// \brief Adjusts every share by one step if the step interval has passed.
+  /// \param LargeFleet Whether the VMs of a region learn of each other's loads
+  /// and shares only through a sample of them.
   void update(const UpstreamTable &Table, const Placement &Local, TimePoint Now,
               const LocalShareTuning &Tuning, bool LargeFleet = false);
 
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace mustardspoke::test {
 
@@ -188,7 +189,8 @@
       Known->m_PeerActiveRequests =
           Sum[Known->m_IdHash] - Known->ownActiveRequests();
     }
-    Vm->m_Shares.update(Vm->m_Upstreams, Vm->m_Placement, m_Events.m_Now, {});
+    Vm->m_Shares.update(Vm->m_Upstreams, Vm->m_Placement, m_Events.m_Now,
+                        m_Plan.m_ShareTuning, m_Plan.m_LargeFleet);
   }
   if (m_Events.m_Now < m_End)
     at(HeartbeatInterval, [this] { exchangeLoads(); });
@@ -207,7 +209,7 @@
         m_Plan.m_Regions[Current->m_Region].m_Name)
       LocalVms.push_back(Vm.get());
   EntryNode &Vm = *LocalVms[m_Rng(std::uint32_t(LocalVms.size()))];
-  LocalShareTuning ShareTuning;
+  const LocalShareTuning &ShareTuning = m_Plan.m_ShareTuning;
   Vm.m_Shares.recordRequest(Service, ShareTuning);
   ChoiceInput Input{m_Route, nullptr, Service};
   Input.m_KeyHash = stableHash(std::to_string(Current->m_Key));
@@ -358,6 +360,19 @@
          Model.at(6s, [&Model] { Model.setLoad("small", 2); });
          Model.at(10s, [&Model] { Model.setLoad("small", 3); });
        }},
+      {"small-region-in-waves",
+       [](LoadModel &Model) {
+         constexpr double Mean = 2;
+         constexpr double Swing = 0.55;
+         constexpr double PeriodSeconds = 36;
+         constexpr double Phase = 0.63; // Of a period, at the start.
+         for (int Second = 0; Second < 36; ++Second)
+           Model.at(Second * 1s, [&Model, Second] {
+             double Angle =
+                 2 * std::numbers::pi * (Second / PeriodSeconds + Phase);
+             Model.setLoad("small", Mean * (1 + Swing * std::sin(Angle)));
+           });
+       }},
       {"overload-everywhere",
        [](LoadModel &Model) {
          for (const char *Region : {"small", "large", "other"})
--- a/tests/support/load_model.h
+++ b/tests/support/load_model.h
@@ -45,6 +45,8 @@
   Duration m_Length = 20s;
   steer::UpstreamStrategy m_Strategy = steer::chooseByKeyLocalFirst;
   steer::ChoiceTuning m_Tuning;
+  steer::LocalShareTuning m_ShareTuning;
+  bool m_LargeFleet = false; ///< See LocalShares::update().
   std::uint64_t m_Seed = 1;
 };
 
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -85,6 +85,26 @@
   checkBetter(compare("burst-and-slow-tenth"));
 }
 
+// Unequal regions: a region with a small part of the upstreams and a third of
+// the callers, whose traffic comes in waves. Keys that came home in the trough
+// had to move out again at the peak, each time to upstreams that did not hold
+// them. Control: the earlier steps of a large fleet.
+BOOST_AUTO_TEST_CASE(SmallRegionInWavesKeepsItsKeysWhereTheyAreHeld) {
+  LoadPlan Plan;
+  Plan.m_LargeFleet = true;
+  Plan.m_Length = 36s;
+  LoadPlan Earlier = Plan;
+  Earlier.m_ShareTuning.m_LargeFleetMaxStep = Plan.m_ShareTuning.m_MaxStep;
+  Earlier.m_ShareTuning.m_LargeFleetReturnStep = Plan.m_ShareTuning.m_MaxStep;
+  LoadResult Now =
+      runPattern("small-region-in-waves", steer::chooseByKeyLocalFirst, Plan);
+  LoadResult Before = runPattern("small-region-in-waves",
+                                 steer::chooseByKeyLocalFirst, Earlier);
+  BOOST_TEST(Now.m_All.inTarget() > Before.m_All.inTarget());
+  BOOST_TEST(Now.worstRegion() > Before.worstRegion());
+  BOOST_TEST((Now.m_UncachedWork < Before.m_UncachedWork));
+}
+
 // Without refusals, queues at the upstreams delay all requests beyond the
 // target.
 BOOST_AUTO_TEST_CASE(OverloadInAllRegionsRefusesEarlyAndAnswersInTime) {
