--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -140,7 +140,9 @@
 }
 
 std::string Gateway::metricsPage(const HttpHead & /*Head*/) {
-  return completeResponse(200, "text/plain", m_State.m_Metrics.exposition());
+  return completeResponse(200, "text/plain",
+                          m_State.m_Metrics.exposition() +
+                              m_Replica.exposition());
 }
 
 std::string Gateway::notFoundPage(const HttpHead & /*Head*/) {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -346,8 +346,12 @@
               {"cause", Error ? Error.message() : "no readable answer"}});
     co_return;
   }
-  logEvent(LogLevel::Info, "rows-from-peer",
-           {{"peer", Address}, {"rows", std::to_string(Rows->m_Rows.size())}});
+  std::optional<Duration> ReaderAge = m_State.m_Fleet.readerAge(steadyNow());
+  logEvent(
+      LogLevel::Info, "rows-from-peer",
+      {{"peer", Address},
+       {"rows", std::to_string(Rows->m_Rows.size())},
+       {"readerAgeMs", ReaderAge ? std::to_string(toMillis(*ReaderAge)) : ""}});
   m_Replica.applyRelayedRows(*Rows);
 }
 
--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -251,6 +251,20 @@
   }
 }
 
+std::string StoreReplica::exposition() const {
+  std::string Text;
+  auto AddGauge = [&Text](const char *Name, std::int64_t Value) {
+    Text += std::string("# TYPE ") + Name + " gauge\n" + Name + " " +
+            std::to_string(Value) + "\n";
+  };
+  AddGauge("mustardspoke_reads_store", readsStore() ? 1 : 0);
+  AddGauge("mustardspoke_store_era", std::int64_t(m_Era.value_or(0)));
+  AddGauge("mustardspoke_upstreams", std::int64_t(m_State.m_Upstreams.size()));
+  if (auto Age = m_State.m_Fleet.readerAge(steadyNow()))
+    AddGauge("mustardspoke_store_reader_age_ms", toMillis(*Age));
+  return Text;
+}
+
 awaitable<void> StoreReplica::publishDiscoveryRow() {
   const EntryVm &Self = m_State.m_Fleet.m_Self;
   while (!m_State.m_Leaving) {
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -54,6 +54,9 @@
     return m_StoreReachable;
   }
 
+  /// \brief Metrics of the replica in the Prometheus text exposition format.
+  [[nodiscard]] std::string exposition() const;
+
   /// \brief Writes this VM's discovery row, or removes it.
   awaitable<void> publishDiscoveryRow();
   awaitable<void> removeDiscoveryRow();
--- a/tests/soak/table_standin.cpp
+++ b/tests/soak/table_standin.cpp
@@ -5,6 +5,7 @@
 #include "config/base64.h"
 #include "json/json.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace mustardspoke::soak {
@@ -44,6 +45,13 @@
   m_Tables[Table][Key] = {{}, ++m_Version, true};
 }
 
+void TableStandIn::comeBackOlder() {
+  m_Tables = m_BackUp.m_Tables;
+  m_Version = m_BackUp.m_Version;
+  m_OldestVersion = std::min(m_OldestVersion, m_Version);
+  ++m_Era;
+}
+
 awaitable<void> TableStandIn::serve(std::shared_ptr<ServerSide> Connection) {
   while (!(co_await Connection->readRequest()).empty()) {
     while (m_Mode == TableMode::Silent)
@@ -55,6 +63,9 @@
     if (m_Mode == TableMode::Slow)
       co_await Connection->sleep(SlowAnswer);
     std::string Answer = co_await execute(*Connection);
+    constexpr std::string_view LineEnd = "\r\n";
+    Answer.insert(Answer.find(LineEnd) + LineEnd.size(),
+                  "Store-Era: " + std::to_string(m_Era) + "\r\n");
     if (m_Mode == TableMode::LoseAnswers) {
       Connection->close();
       co_return;
@@ -99,7 +110,7 @@
   std::uint64_t After = queryNumber(Target, "after");
   TimePoint End = steadyNow() + queryNumber(Target, "waitMs") * 1ms;
   for (;;) {
-    if (After < m_OldestVersion)
+    if (After < m_OldestVersion || After > m_Version)
       co_return jsonAnswer(410, "{}");
     std::map<std::uint64_t, Json> Changed; // Ordered by version.
     for (const auto &[Key, Row] : m_Tables[Name]) {
--- a/tests/soak/table_standin.h
+++ b/tests/soak/table_standin.h
@@ -31,6 +31,11 @@
   void setMode(TableMode Mode) { m_Mode = Mode; }
   /// \brief Makes feeds from versions before the current one fail.
   void truncateHistory() { m_OldestVersion = m_Version; }
+  /// \brief Keeps a copy of all rows, to come back from.
+  void backUp() { m_BackUp = {m_Tables, m_Version}; }
+  /// \brief Comes back from the last copy in a new era. The versions after it
+  /// are given out again.
+  void comeBackOlder();
 
 private:
   struct Row {
@@ -49,6 +54,13 @@
   steer::asio::io_context &m_Io;
   steer::Tcp::acceptor m_Acceptor;
   TableMode m_Mode = TableMode::Normal;
+  struct Copy {
+    std::map<std::string, Table> m_Tables;
+    std::uint64_t m_Version = 1;
+  };
+
+  std::uint64_t m_Era = 1;
+  Copy m_BackUp;
   std::uint64_t m_Version = 1;       ///< Of the latest change.
   std::uint64_t m_OldestVersion = 0; ///< Feeds can start from here.
   std::map<std::string, Table> m_Tables;
