--- a/tests/soak/local_deployment.h
+++ b/tests/soak/local_deployment.h
@@ -60,6 +60,7 @@
   // The store and the connections to it.
   void setStoreMode(TableMode Mode);
   void truncateHistory() { m_Table.truncateHistory(); }
+  [[nodiscard]] TableStandIn &table() noexcept { return m_Table; }
   void setStoreLinkMode(unsigned Vm, LinkMode Mode);
 
   // Upstreams and the connections to them.
--- a/tests/soak/table_standin.h
+++ b/tests/soak/table_standin.h
@@ -36,6 +36,9 @@
   /// \brief Comes back from the last copy in a new era. The versions after it
   /// are given out again.
   void comeBackOlder();
+  /// \brief Lets the operator and the upstreams write again what the last
+  /// comeBackOlder() lost.
+  void rewriteLostRows();
 
 private:
   struct Row {
@@ -61,8 +64,9 @@
 
   std::uint64_t m_Era = 1;
   Copy m_BackUp;
-  std::uint64_t m_Version = 1;       ///< Of the latest change.
-  std::uint64_t m_OldestVersion = 0; ///< Feeds can start from here.
+  std::map<std::string, Table> m_Lost; ///< Tables before comeBackOlder().
+  std::uint64_t m_Version = 1;         ///< Of the latest change.
+  std::uint64_t m_OldestVersion = 0;   ///< Feeds can start from here.
   std::map<std::string, Table> m_Tables;
 };
 
--- a/tests/soak/upstream_standin.h
+++ b/tests/soak/upstream_standin.h
@@ -16,6 +16,7 @@
   double m_ExtraAnswerRate = 0;     ///< Fraction followed by a second answer.
   double m_TruncatedAnswerRate = 0; ///< Fraction truncated inside the body.
   double m_SlowdownFactor = 1;      ///< Multiplies the processing time.
+  unsigned m_QuietSeconds = 0; ///< Refuses with this Retry-After; 0: does not.
 };
 
 /// \brief Identity and addresses of an upstream.
@@ -58,6 +59,11 @@
   /// \returns Whether the connection stays open.
   steer::awaitable<bool> execute(ConnectionPtr Connection, std::string Id);
   [[nodiscard]] std::string loadHeaders() const;
+  /// \brief States that the request was not run.
+  /// \param Other The request was meant for another upstream.
+  /// \param Quiet This upstream asks for a pause.
+  [[nodiscard]] std::string refusal(const std::string &Id, bool Other,
+                                    bool Quiet) const;
   bool occurs(double Part);
 
   steer::asio::io_context &m_Io;
