Requests at a VM's start wait for its first read of the store

Change: until 500 ms after the start they wait for configuration and upstreams; later, and on a leaving VM, they are refused at once as before. Tests: one that failed first, one for the refusal at once.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -10,6 +10,11 @@
 /// Retry-After of refusals for a missing configuration or service; both arrive
 /// within seconds.
 constexpr Duration MissingConfigRetryAfter = 500ms;
+/// After the start of the process, requests wait this long for the first read
+/// of the store, which usually takes some milliseconds: a refusal would cost
+/// their callers a retry.
+constexpr Duration FirstReadWait = 500ms;
+constexpr Duration FirstReadPollInterval = 10ms;
 /// Attempts of one request that may fail before anything is sent: enough to
 /// skip a handful of upstreams that have just vanished.
 constexpr unsigned MaxUnsentAttempts = 6;
@@ -72,6 +77,7 @@
     co_return co_await refuse(ErrorKind::Leaving,
                               errorInfo(ErrorKind::Leaving).m_RetryAfter,
                               "leaving");
+  co_await waitForFirstRead();
   m_Routes = m_State.m_Routes;
   if (!m_Routes)
     co_return co_await refuse(ErrorKind::NoBundle, MissingConfigRetryAfter,
@@ -104,6 +110,13 @@
   co_return co_await runAttempts();
 }
 
+awaitable<void> Exchange::waitForFirstRead() {
+  TimePoint End = m_State.m_StartedAt + FirstReadWait;
+  while (!m_State.ready() && !m_State.m_Leaving && steadyNow() < End &&
+         !m_Caller->disconnected())
+    co_await sleepFor(m_State.m_Io, FirstReadPollInterval);
+}
+
 Choice Exchange::choose() const {
   std::vector<const Upstream *> Tried;
   for (const UpstreamPtr &Target : m_Tried)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -54,6 +54,7 @@
   };
 
   awaitable<bool> route();
+  awaitable<void> waitForFirstRead();
   awaitable<bool> runAttempts();
   [[nodiscard]] Choice choose() const;
   /// \brief Whether another upstream may be tried after \p Result.
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -61,6 +61,7 @@
   std::map<std::string, double> m_MeanResponseBytes;
 
   Metrics m_Metrics;
+  TimePoint m_StartedAt = steadyNow();
   unsigned m_InFlight = 0;   ///< Requests read and not yet answered.
   TimePoint m_LastRequest{}; ///< When the last request was read.
   /// False late in a shutdown: new requests are refused.
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -305,6 +305,28 @@
   BOOST_TEST(Responses[0].m_Head.m_Status == 503U);
 }
 
+// All VMs of a fleet had been killed; the requests that reached them between
+// their start and their first read of the store were refused.
+BOOST_AUTO_TEST_CASE(RequestAtTheStartWaitsForTheFirstReadOfTheStore) {
+  ExchangeRig R;
+  R.upstream("u", echo);
+  RouteTablePtr Routes = std::exchange(R.m_State.m_Routes, nullptr);
+  R.m_State.m_StartedAt = steadyNow();
+  asio::steady_timer FirstRead(R.m_Io, std::chrono::milliseconds(50));
+  FirstRead.async_wait([&](const NetError &) { R.m_State.m_Routes = Routes; });
+  BOOST_TEST(R.ask(get("a")).m_Body == "a");
+}
+
+BOOST_AUTO_TEST_CASE(MissingConfigurationIsReportedAtOnceAfterTheStart) {
+  ExchangeRig R;
+  R.upstream("u", echo);
+  R.m_State.m_Routes = nullptr;
+  R.m_State.m_StartedAt = steadyNow() - 10s;
+  TimePoint AskedAt = steadyNow();
+  BOOST_TEST(R.ask(get("a")).m_Head.m_Status == 503U);
+  BOOST_TEST((steadyNow() - AskedAt < 400ms));
+}
+
 BOOST_AUTO_TEST_CASE(UnknownRouteAndMissingConfigurationHaveDifferentStatuses) {
   ExchangeRig R;
   std::vector<HttpResponse> Responses;
