A table that a peer has not read is of no era

A relay of a peer that had not read every table yet carries version 0 for the others. It was taken for era 0, and the era of the next table for a change, which made removals tentative for 2.2 s after a start on a store that counts eras. Test: failed first.

--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -231,8 +231,10 @@
 }
 
 void StoreReplica::applyRelayedRows(const RelayedRows &Rows) {
+  // A table that the peer hasn't read yet has version 0, which is of no era.
   for (std::uint64_t Version : Rows.m_SyncedVersions)
-    noteEra(eraOf(Version), "peer");
+    if (Version != 0)
+      noteEra(eraOf(Version), "peer");
   std::vector<std::string> Names = tableNames();
   std::map<std::string, std::vector<StoreRow>> ByTable;
   for (const RelayedRow &Relayed : Rows.m_Rows) {
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -229,6 +229,27 @@
   BOOST_TEST(!R.known());
 }
 
+// A peer relayed its rows before it had read every table.
+BOOST_AUTO_TEST_CASE(TableThatAPeerHasNotReadIsOfNoEra) {
+  asio::io_context Io;
+  WireFormat Format{};
+  FakeStore Store;
+  GatewayState State(
+      Io, GatewaySettings(), Format,
+      {decodeAnyEvacuation, decodeAnyUpstream, {"op", "up", "vm"}});
+  UpstreamPool Pool(Io);
+  StoreReplica Replica(State, Pool, Store);
+  RelayedRows Rows;
+  Rows.m_Rows = {{{"up", "u", "", storePosition(1, 10), false}, false}};
+  Rows.m_SyncedVersions = {0, storePosition(1, 20), 0};
+  Replica.applyRelayedRows(Rows);
+  Rows.m_Rows.clear();
+  Rows.m_IsFullRead = true;
+  Rows.m_SyncedVersions.assign(3, storePosition(1, 30));
+  Replica.applyRelayedRows(Rows);
+  BOOST_TEST(State.m_Upstreams.find("u") == nullptr);
+}
+
 // Control: in the same era it is removed at once.
 BOOST_AUTO_TEST_CASE(MissingRegistrationOfTheSameEraIsRemovedAtOnce) {
   ReplicaRig R;
