Log and export the shares of keys that a region serves itself

- local-share: a line when a service is new or its share has moved by 0.05, with the slots of the region and of all regions that the VM knows and the utilization of both.
Bounded by the steps of the share.
- request: region of the last upstream, whether the share assigns the key to the own region, whether the upstream lies outside the assigned regions.
- Gauges local_share, local_utilization, remote_utilization by service.

No decision changes.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -156,14 +156,17 @@
     if (cancelled())
       co_return co_await giveUp(Last, MissingConfigRetryAfter, "deadline");
     Choice Selected = choose();
-    if (!Selected.m_Upstream)
+    if (!Selected.m_Upstream) {
+      m_Choice.m_IsLocalKey = Selected.m_IsLocalKey;
       co_return co_await giveUp(Last, Selected.m_RetryAfter,
                                 refusalName(Selected.m_RefusalReason));
-    m_ChosenLoad = Selected.m_Load;
-    if (Selected.m_IsOverflow)
+    }
+    m_Choice = Selected;
+    UpstreamPtr Target = m_Choice.m_Upstream;
+    if (m_Choice.m_IsOverflow)
       m_State.m_LocalShares.recordOverflow(m_TargetService);
-    m_Tried.push_back(Selected.m_Upstream);
-    Last = co_await attempt(Selected.m_Upstream);
+    m_Tried.push_back(Target);
+    Last = co_await attempt(Target);
     switch (Last) {
     case AttemptResult::Delivered:
       co_return !m_ClosesConnection;
@@ -262,21 +265,25 @@
   for (const UpstreamPtr &Target : m_Tried)
     UpstreamIds +=
         (UpstreamIds.empty() ? "" : " ") + Target->m_Registration.m_Id;
-  logEvent(Error == ErrorKind::None ? LogLevel::Info : LogLevel::Warning,
-           "request",
-           {{"id", m_Metadata.m_RequestId},
-            {"route", m_Route ? m_Route->m_Name : ""},
-            {"routes", std::to_string(m_Routes ? m_Routes->m_Version : 0)},
-            {"service", m_TargetService.str()},
-            {"key", m_Metadata.m_AffinityKey},
-            {"upstreams", UpstreamIds},
-            {"load", std::to_string(int(m_ChosenLoad))},
-            {"sent", std::to_string(m_SentAttempts)},
-            {"status", std::to_string(Status)},
-            {"outcome", std::string(outcomeName(Sample.m_Outcome))},
-            {"error", std::string(errorInfo(Error).m_Name)},
-            {"why", std::string(Reason)},
-            {"ms", std::to_string(toMillis(Elapsed))}});
+  logEvent(
+      Error == ErrorKind::None ? LogLevel::Info : LogLevel::Warning, "request",
+      {{"id", m_Metadata.m_RequestId},
+       {"route", m_Route ? m_Route->m_Name : ""},
+       {"routes", std::to_string(m_Routes ? m_Routes->m_Version : 0)},
+       {"service", m_TargetService.str()},
+       {"key", m_Metadata.m_AffinityKey},
+       {"upstreams", UpstreamIds},
+       {"region",
+        m_Tried.empty() ? "" : m_Tried.back()->m_Registration.m_Region.str()},
+       {"localKey", m_Choice.m_IsLocalKey ? "yes" : "no"},
+       {"overflow", m_Choice.m_IsOverflow ? "yes" : "no"},
+       {"load", std::to_string(int(m_Choice.m_Load))},
+       {"sent", std::to_string(m_SentAttempts)},
+       {"status", std::to_string(Status)},
+       {"outcome", std::string(outcomeName(Sample.m_Outcome))},
+       {"error", std::string(errorInfo(Error).m_Name)},
+       {"why", std::string(Reason)},
+       {"ms", std::to_string(toMillis(Elapsed))}});
 }
 
 } // namespace mustardspoke::steer
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -120,7 +120,7 @@
   bool m_MayHaveRun = false;
   bool m_BodyDropped = false; ///< Body bytes were dropped after sending, so it
                               ///< can't be sent again.
-  double m_ChosenLoad = 0;    ///< Estimated before the request was sent.
+  Choice m_Choice;            ///< Of the last attempt.
   UpstreamConnectionPtr m_Connection; ///< Of the current attempt.
   /// Set while the upstream has the request.
   std::optional<InFlightGuard> m_InFlightGuard;
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -331,9 +331,9 @@
     co_return AttemptResult::Failed;
   }
   if (isSuccess(Status)) {
-    Duration Work =
-        Target->recordSuccess(steadyNow(), steadyNow() - m_SentAt, m_ChosenLoad,
-                              m_State.m_Settings.m_Choice.m_HealthTuning);
+    Duration Work = Target->recordSuccess(
+        steadyNow(), steadyNow() - m_SentAt, m_Choice.m_Load,
+        m_State.m_Settings.m_Choice.m_HealthTuning);
     m_State.m_Upstreams.recordProcessingTime(Target->m_Registration.m_Service,
                                              Work);
     double &Mean = m_State.m_MeanResponseBytes[m_Route->m_Name];
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/exchange.h"
 #include "gateway/peers.h"
+#include "gateway/share_report.h"
 #include "observe/log.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -142,7 +143,8 @@
 std::string Gateway::metricsPage(const HttpHead & /*Head*/) {
   return completeResponse(200, "text/plain",
                           m_State.m_Metrics.exposition() +
-                              m_Replica.exposition());
+                              m_Replica.exposition() +
+                              shareExposition(m_State.m_LocalShares));
 }
 
 std::string Gateway::notFoundPage(const HttpHead & /*Head*/) {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -105,8 +105,9 @@
           {loadKey(Target.m_IdHash), Target.ownActiveRequests()});
   });
   m_State.m_LocalShares.forEach(
-      [&Result](std::uint64_t Service, double Local, double Busy) {
-        Result.m_ServiceShares.push_back({Service, Local, Busy});
+      [&Result](const ServiceName &Service, const LocalShareState &State) {
+        Result.m_ServiceShares.push_back(
+            {stableHash(Service.str()), State.m_Share, State.m_Utilization});
       });
   return Result;
 }
@@ -176,6 +177,7 @@
     m_State.m_LocalShares.update(
         m_State.m_Upstreams, m_State.m_Settings.m_Placement, Now,
         m_State.m_Settings.m_LocalShare, !m_State.m_Fleet.isSmall());
+    m_ShareLog.logChanges(m_State.m_LocalShares);
   }
 }
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -3,6 +3,7 @@
 /// store.
 #pragma once
 
+#include "gateway/share_report.h"
 #include "gateway/store_replica.h"
 
 #include <map>
@@ -60,6 +61,7 @@
   unsigned m_Round = 0;
   bool m_Fetching = false; ///< At most one fetch of rows runs at a time.
   TimePoint m_LastFetchAt{};
+  ShareLog m_ShareLog;
 };
 
 } // namespace mustardspoke::steer
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -195,34 +195,8 @@
     std::erase_if(Candidates, InLastTier);
 }
 
-} // namespace
-
-bool takeColdToken(Upstream &Target, const ChoiceInput &Input,
-                   const ChoiceTuning &Tuning) {
-  if (!Target.isCold(Input.m_Now))
-    return true;
-  if (!Input.m_ServiceSettings ||
-      Input.m_ServiceSettings->m_ColdRequestsPerSecond <= 0)
-    return true;
-  if (Input.m_MaySendCold &&
-      !Input.m_MaySendCold(Input.m_Fleet, Target.m_IdHash))
-    return false;
-  double Rate = Input.m_ServiceSettings->m_ColdRequestsPerSecond *
-                Tuning.m_ColdRateFraction / Tuning.m_MaxColdSenders;
-  double Elapsed =
-      std::chrono::duration<double>(Input.m_Now - Target.m_ColdTokensUpdatedAt)
-          .count();
-  Target.m_ColdTokens = std::min(1.0, Target.m_ColdTokens + Elapsed * Rate);
-  Target.m_ColdTokensUpdatedAt = Input.m_Now;
-  if (Target.m_ColdTokens < 1)
-    return false;
-  Target.m_ColdTokens -= 1;
-  return true;
-}
-
-Choice chooseByKeyLocalFirst(const ChoiceInput &Input,
-                             const UpstreamTable &Table, const Placement &Local,
-                             const ChoiceTuning &Tuning) {
+Choice selectByKey(const ChoiceInput &Input, const UpstreamTable &Table,
+                   const Placement &Local, const ChoiceTuning &Tuning) {
   std::vector<Candidate> Candidates =
       findCandidates(Input, Table, Local, Tuning);
   if (!Input.m_MayOverflow)
@@ -260,6 +234,39 @@
   return Refusal;
 }
 
+} // namespace
+
+bool takeColdToken(Upstream &Target, const ChoiceInput &Input,
+                   const ChoiceTuning &Tuning) {
+  if (!Target.isCold(Input.m_Now))
+    return true;
+  if (!Input.m_ServiceSettings ||
+      Input.m_ServiceSettings->m_ColdRequestsPerSecond <= 0)
+    return true;
+  if (Input.m_MaySendCold &&
+      !Input.m_MaySendCold(Input.m_Fleet, Target.m_IdHash))
+    return false;
+  double Rate = Input.m_ServiceSettings->m_ColdRequestsPerSecond *
+                Tuning.m_ColdRateFraction / Tuning.m_MaxColdSenders;
+  double Elapsed =
+      std::chrono::duration<double>(Input.m_Now - Target.m_ColdTokensUpdatedAt)
+          .count();
+  Target.m_ColdTokens = std::min(1.0, Target.m_ColdTokens + Elapsed * Rate);
+  Target.m_ColdTokensUpdatedAt = Input.m_Now;
+  if (Target.m_ColdTokens < 1)
+    return false;
+  Target.m_ColdTokens -= 1;
+  return true;
+}
+
+Choice chooseByKeyLocalFirst(const ChoiceInput &Input,
+                             const UpstreamTable &Table, const Placement &Local,
+                             const ChoiceTuning &Tuning) {
+  Choice Result = selectByKey(Input, Table, Local, Tuning);
+  Result.m_IsLocalKey = servedLocally(Input);
+  return Result;
+}
+
 Choice chooseLeastLoad(const ChoiceInput &Input, const UpstreamTable &Table,
                        const Placement &Local, const ChoiceTuning &Tuning) {
   std::vector<Candidate> Candidates =
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -83,6 +83,8 @@
   Duration m_RetryAfter{};
   double m_Load = 0;         ///< Estimated load of the selected upstream.
   bool m_IsOverflow = false; ///< Selected outside the regions of the key.
+  /// Whether the key is assigned to the own region; also set on refusal.
+  bool m_IsLocalKey = false;
 };
 
 /// \brief An interchangeable selection strategy.
--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -92,6 +92,8 @@
   m_LastStepAt = Now;
   for (const auto &[Service, Load] : loadByService(Table, Local, Now)) {
     Share &Current = m_Shares[Service];
+    Current.m_LocalSlots = Load.m_LocalSlots;
+    Current.m_TotalSlots = Load.m_TotalSlots;
     if (!std::exchange(Current.m_Initialized, true)) {
       Current.m_Share = initialShare(Load, Tuning);
       Current.m_HealthyUpstreams = Load.m_HealthyLocalUpstreams;
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -45,6 +45,16 @@
   Duration m_UpstreamLossWindow = 10s;
 };
 
+/// \brief A service's share and the inputs of its last step.
+struct LocalShareState {
+  double m_Share = 1;
+  double m_Utilization = 0; ///< Of the region's slots.
+  /// Moving average over reports of other regions; none before the first.
+  std::optional<double> m_RemoteUtilization;
+  unsigned m_LocalSlots = 0;
+  unsigned m_TotalSlots = 0;
+};
+
 /// \brief Controls, for each service, the share of the keys of the own region's
 /// callers that the region's upstreams serve. The other keys stay assigned to
 /// other regions, so that their cached state stays warm there.
@@ -77,22 +87,17 @@
   /// region.
   void receivedRemoteUtilization(std::uint64_t ServiceHash, double Utilization);
 
-  /// \brief Calls \p Visit with the service's hash, the share and the
-  /// utilization.
+  /// \brief Calls \p Visit with each service and its LocalShareState.
   template <class Visitor> void forEach(Visitor &&Visit) const {
     for (const auto &[Service, Entry] : m_Shares)
-      Visit(stableHash(Service.str()), Entry.m_Share, Entry.m_Utilization);
+      Visit(Service, static_cast<const LocalShareState &>(Entry));
   }
 
 private:
-  struct Share {
+  struct Share : LocalShareState {
     bool m_Initialized = false; ///< Set by the first step.
-    double m_Share = 1;
-    double m_PeerShareSum = 0; ///< Received since the last step.
+    double m_PeerShareSum = 0;  ///< Received since the last step.
     unsigned m_PeerShareCount = 0;
-    double m_Utilization = 0; ///< Of the region's slots at the last step.
-    /// Moving average over reports of other regions; none before the first.
-    std::optional<double> m_RemoteUtilization;
     /// Upstreams of the own region that were in use at the last step.
     unsigned m_HealthyUpstreams = 0;
     TimePoint m_UpstreamLostAt{}; ///< Last loss of one of them; zero: never.
