--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -14,6 +14,8 @@
 
 const ServiceName Service{"stock"};
 constexpr Duration HeartbeatInterval = 100ms;
+/// Chance that a VM of a large fleet hears a given peer in one interval.
+constexpr double LargeFleetHeartbeatChance = 0.1;
 
 } // namespace
 
@@ -26,6 +28,7 @@
   double m_LossRate = 0;
   std::deque<RequestPtr> m_Waiting;
   std::list<unsigned> m_CachedKeys; ///< Most recently used first.
+  bool m_Registered = false;
 };
 
 /// \brief An entry VM and its view of the system.
@@ -62,15 +65,66 @@
   return Worst;
 }
 
+double LoadResult::maxRegionShift() const {
+  double Largest = 0;
+  for (const auto &[Region, Mix] : m_Mixes)
+    Largest = std::max(Largest, Mix.maxShift(m_Length));
+  return Largest;
+}
+
+void RegionMix::record(Duration SinceStart, const std::string &UpstreamRegion) {
+  auto Slot = std::size_t(SinceStart / SlotLength);
+  if (m_Slots.size() <= Slot)
+    m_Slots.resize(Slot + 1);
+  ++m_Slots[Slot][UpstreamRegion];
+}
+
+RegionMix::Counts RegionMix::window(std::size_t FirstSlot) const {
+  Counts Sum;
+  for (std::size_t I = FirstSlot;
+       I < std::min(m_Slots.size(), FirstSlot + WindowLength / SlotLength); ++I)
+    for (const auto &[Region, Count] : m_Slots[I])
+      Sum[Region] += Count;
+  return Sum;
+}
+
+double RegionMix::maxShift(Duration End, unsigned MinRequests) const {
+  constexpr std::size_t WindowSlots = WindowLength / SlotLength;
+  auto Total = [](const Counts &Window) {
+    unsigned Sum = 0;
+    for (const auto &[Region, Count] : Window)
+      Sum += Count;
+    return Sum;
+  };
+  double Largest = 0;
+  for (std::size_t I = 0; I + 2 * WindowSlots <= std::size_t(End / SlotLength);
+       ++I) {
+    Counts Before = window(I);
+    Counts After = window(I + WindowSlots);
+    unsigned TotalBefore = Total(Before);
+    unsigned TotalAfter = Total(After);
+    if (std::min(TotalBefore, TotalAfter) < MinRequests)
+      continue;
+    double Moved = 0;
+    for (const auto &[Region, Count] : After)
+      Moved += std::max(0.0, double(Count) / TotalAfter -
+                                 double(Before[Region]) / TotalBefore);
+    Largest = std::max(Largest, Moved);
+  }
+  return Largest;
+}
+
 LoadModel::LoadModel(LoadPlan Plan)
     : m_Plan(std::move(Plan)), m_Rng(m_Plan.m_Seed),
-      m_End(m_Events.m_Now + m_Plan.m_Length),
+      m_FirstRequestAt(m_Events.m_Now + m_Plan.m_Lead),
+      m_End(m_FirstRequestAt + m_Plan.m_Length),
       m_LoadFactors(m_Plan.m_Regions.size(), 1) {
   m_Route.m_Name = "stock";
   m_Route.m_Prefix = "/";
   m_Route.m_TargetLatency = m_Plan.m_TargetLatency;
   m_Route.m_Timeout = m_Plan.m_Deadline;
   m_Route.m_Targets = {{Service, 1}};
+  m_Result.m_Length = m_Plan.m_Length;
   m_Result.m_BySecond.resize(std::size_t(m_Plan.m_Length / 1s));
   for (const LoadPlan::RegionPlan &Region : m_Plan.m_Regions)
     for (unsigned I = 0; I < Region.m_Upstreams; ++I) {
@@ -83,8 +137,8 @@
       m_Vms.push_back(std::make_unique<EntryNode>());
       m_Vms.back()->m_Placement = {RegionName(Region.m_Name),
                                    FailureDomainName(Region.m_Name + "-a")};
-      registerUpstreams(*m_Vms.back());
     }
+  scheduleRegistrations();
 }
 
 LoadModel::~LoadModel() = default;
@@ -93,22 +147,45 @@
   m_Events.after(When, std::move(Action));
 }
 
-void LoadModel::registerUpstreams(EntryNode &Vm) {
-  for (const auto &Entry : m_Servers) {
-    UpstreamRegistration Registration;
-    Registration.m_Id = Entry->m_Id;
-    Registration.m_Service = Service;
-    Registration.m_Region = RegionName(Entry->m_Region);
-    Registration.m_Domain = FailureDomainName(Entry->m_Region + "-a");
-    Registration.m_Slots = m_Plan.m_Slots;
-    (void)Vm.m_Upstreams.put(Registration, m_Events.m_Now);
-    bool IsLocal = Vm.m_Placement.m_Region == Registration.m_Region;
-    Vm.m_Upstreams.find(Entry->m_Id)
-        ->recordConnect(2 *
-                        (IsLocal ? m_Plan.m_LocalDelay : m_Plan.m_RemoteDelay));
+void LoadModel::scheduleRegistrations() {
+  std::vector<Server *> Order;
+  for (const auto &Entry : m_Servers)
+    Order.push_back(Entry.get());
+  if (m_Plan.m_RegistrationTime > Duration::zero())
+    for (std::size_t I = Order.size(); I > 1; --I)
+      std::swap(Order[I - 1], Order[m_Rng(std::uint32_t(I))]);
+  std::ranges::stable_partition(Order, [this](const Server *Entry) {
+    return Entry->m_Region == m_Plan.m_FirstToRegister;
+  });
+  for (std::size_t I = 0; I < Order.size(); ++I) {
+    auto Register = [this, Entry = Order[I]] {
+      Entry->m_Registered = true;
+      for (const auto &Vm : m_Vms)
+        registerUpstream(*Vm, *Entry);
+    };
+    if (m_Plan.m_RegistrationTime == Duration::zero())
+      Register();
+    else
+      at(m_Plan.m_RegistrationTime * std::int64_t(I) /
+             std::int64_t(Order.size()),
+         Register);
   }
 }
 
+void LoadModel::registerUpstream(EntryNode &Vm, Server &Target) {
+  UpstreamRegistration Registration;
+  Registration.m_Id = Target.m_Id;
+  Registration.m_Service = Service;
+  Registration.m_Region = RegionName(Target.m_Region);
+  Registration.m_Domain = FailureDomainName(Target.m_Region + "-a");
+  Registration.m_Slots = m_Plan.m_Slots;
+  (void)Vm.m_Upstreams.put(Registration, m_Events.m_Now);
+  bool IsLocal = Vm.m_Placement.m_Region == Registration.m_Region;
+  Vm.m_Upstreams.find(Target.m_Id)
+      ->recordConnect(2 *
+                      (IsLocal ? m_Plan.m_LocalDelay : m_Plan.m_RemoteDelay));
+}
+
 void LoadModel::setLoad(const std::string &Region, double Factor) {
   for (std::size_t I = 0; I < m_LoadFactors.size(); ++I)
     if (m_Plan.m_Regions[I].m_Name == Region)
@@ -143,7 +220,9 @@
   for (const auto &Vm : m_Vms) {
     Vm->m_Upstreams = UpstreamTable();
     Vm->m_Shares = LocalShares();
-    registerUpstreams(*Vm);
+    for (const auto &Entry : m_Servers)
+      if (Entry->m_Registered)
+        registerUpstream(*Vm, *Entry);
   }
 }
 
@@ -153,8 +232,10 @@
 }
 
 LoadResult LoadModel::run() {
-  for (std::size_t I = 0; I < m_Plan.m_Regions.size(); ++I)
-    scheduleArrival(I);
+  at(m_Plan.m_Lead, [this] {
+    for (std::size_t I = 0; I < m_Plan.m_Regions.size(); ++I)
+      scheduleArrival(I);
+  });
   exchangeLoads();
   m_Events.run();
   return m_Result;
@@ -186,16 +267,39 @@
   for (const auto &Vm : m_Vms) {
     for (const auto &Entry : m_Servers) {
       UpstreamPtr Known = Vm->m_Upstreams.find(Entry->m_Id);
-      Known->m_PeerActiveRequests =
-          Sum[Known->m_IdHash] - Known->ownActiveRequests();
+      if (Known)
+        Known->m_PeerActiveRequests =
+            Sum[Known->m_IdHash] - Known->ownActiveRequests();
     }
     Vm->m_Shares.update(Vm->m_Upstreams, Vm->m_Placement, m_Events.m_Now,
                         m_Plan.m_ShareTuning, m_Plan.m_LargeFleet);
   }
+  exchangeShares();
   if (m_Events.m_Now < m_End)
     at(HeartbeatInterval, [this] { exchangeLoads(); });
 }
 
+void LoadModel::exchangeShares() {
+  for (const auto &Sender : m_Vms)
+    for (const auto &Receiver : m_Vms)
+      // A VM of a large fleet hears a few peers at a time.
+      if (Receiver != Sender &&
+          (!m_Plan.m_LargeFleet || uniform() < LargeFleetHeartbeatChance))
+        sendShares(*Sender, *Receiver);
+}
+
+void LoadModel::sendShares(const EntryNode &Sender, EntryNode &Receiver) {
+  bool IsLocal = Sender.m_Placement.m_Region == Receiver.m_Placement.m_Region;
+  Sender.m_Shares.forEach([&](const ServiceName &Name,
+                              const LocalShareState &State) {
+    std::uint64_t Hash = stableHash(Name.str());
+    if (IsLocal)
+      Receiver.m_Shares.receivedLocalShare(Hash, State.m_Share);
+    else
+      Receiver.m_Shares.receivedRemoteUtilization(Hash, State.m_Utilization);
+  });
+}
+
 Duration LoadModel::networkDelay(const Request &Current,
                                  const Server &Target) const {
   bool IsLocal = m_Plan.m_Regions[Current.m_Region].m_Name == Target.m_Region;
@@ -277,6 +381,8 @@
 
 void LoadModel::startWork(const RequestPtr &Current, Server &Target) {
   ++Target.m_Running;
+  m_Result.m_Mixes[m_Plan.m_Regions[Current->m_Region].m_Name].record(
+      Current->m_SentAt - m_FirstRequestAt, Target.m_Region);
   auto Found = std::find(Target.m_CachedKeys.begin(), Target.m_CachedKeys.end(),
                          Current->m_Key);
   bool Uncached = Found == Target.m_CachedKeys.end();
@@ -329,8 +435,7 @@
 void LoadModel::recordOutcome(const RequestPtr &Current,
                               unsigned LoadTally::*Outcome) {
   Current->m_Done = true;
-  auto Second =
-      std::size_t((Current->m_ArrivedAt - (m_End - m_Plan.m_Length)) / 1s);
+  auto Second = std::size_t((Current->m_ArrivedAt - m_FirstRequestAt) / 1s);
   for (LoadTally *Tally :
        {&m_Result.m_All,
         &m_Result.m_ByRegion[m_Plan.m_Regions[Current->m_Region].m_Name],
--- a/tests/support/load_model.h
+++ b/tests/support/load_model.h
@@ -42,7 +42,14 @@
   Duration m_Deadline = 2s;
   Duration m_RemoteDelay = 25ms; ///< One way between regions.
   Duration m_LocalDelay = 1ms;   ///< One way within a region.
-  Duration m_Length = 20s;
+  Duration m_Length = 20s;       ///< From the first request.
+  /// Time between the start of the entry VMs and the first request.
+  Duration m_Lead{};
+  /// Upstreams register one after the other within this time after the start of
+  /// the entry VMs.
+  Duration m_RegistrationTime{};
+  /// Region whose upstreams register first; the others follow in random order.
+  std::string m_FirstToRegister;
   steer::UpstreamStrategy m_Strategy = steer::chooseByKeyLocalFirst;
   steer::ChoiceTuning m_Tuning;
   steer::LocalShareTuning m_ShareTuning;
@@ -61,6 +68,28 @@
   [[nodiscard]] double inTarget() const {
     return m_Requests == 0 ? 1 : double(m_InTarget) / m_Requests;
   }
+  [[nodiscard]] double refused() const {
+    return m_Requests == 0 ? 0 : double(m_Refused) / m_Requests;
+  }
+};
+
+/// \brief Where the requests of one region's callers ran, by time of sending.
+class RegionMix {
+public:
+  static constexpr Duration SlotLength = 100ms;
+  static constexpr Duration WindowLength = 2s;
+
+  void record(Duration SinceStart, const std::string &UpstreamRegion);
+  /// \brief Largest part of the requests that ran in another region than in
+  /// the window before, over all pairs of adjacent windows that end by \p End.
+  /// Windows with fewer than \p MinRequests are skipped.
+  [[nodiscard]] double maxShift(Duration End, unsigned MinRequests = 100) const;
+
+private:
+  using Counts = std::map<std::string, unsigned>; ///< By upstream region.
+  [[nodiscard]] Counts window(std::size_t FirstSlot) const;
+
+  std::vector<Counts> m_Slots;
 };
 
 /// \brief Result of one run.
@@ -69,10 +98,14 @@
   std::map<std::string, LoadTally> m_ByRegion; ///< By region of the caller.
   std::vector<LoadTally> m_BySecond;           ///< By time of arrival.
   Duration m_UncachedWork{}; ///< Processing time spent on uncached keys.
+  std::map<std::string, RegionMix> m_Mixes; ///< By region of the caller.
+  Duration m_Length{};                      ///< See LoadPlan.
 
   /// \brief Lowest fraction of requests answered in time.
   [[nodiscard]] double worstRegion() const;
   [[nodiscard]] double worstSecond() const;
+  /// \brief Largest shift of any region's requests; see RegionMix::maxShift().
+  [[nodiscard]] double maxRegionShift() const;
 };
 
 /// \brief One run of the simulation.
@@ -113,7 +146,10 @@
   void finishWork(const RequestPtr &Current, Server &Target);
   void handleAnswer(const RequestPtr &Current, steer::LoadReport Load);
   void exchangeLoads();
-  void registerUpstreams(EntryNode &Vm);
+  void scheduleRegistrations();
+  void registerUpstream(EntryNode &Vm, Server &Target);
+  void exchangeShares();
+  static void sendShares(const EntryNode &Sender, EntryNode &Receiver);
   void recordOutcome(const RequestPtr &Current, unsigned LoadTally::*Outcome);
   [[nodiscard]] Duration networkDelay(const Request &Current,
                                       const Server &Target) const;
@@ -124,6 +160,7 @@
   Random m_Rng;
   steer::Route m_Route;
   EventQueue m_Events;
+  TimePoint m_FirstRequestAt;
   TimePoint m_End;
   std::vector<double> m_LoadFactors; ///< By region.
   std::vector<std::unique_ptr<Server>> m_Servers;
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -105,6 +105,66 @@
   BOOST_TEST((Now.m_UncachedWork < Before.m_UncachedWork));
 }
 
+/// \brief A region with a tenth of the upstreams and a third of the callers, as
+/// in a deployment of 60 VMs.
+LoadPlan unequalRegions() {
+  LoadPlan Plan;
+  Plan.m_Regions = {
+      {"small", 6, 27, 340}, {"large", 6, 132, 480}, {"other", 6, 111, 170}};
+  Plan.m_CachedWork = 400ms;
+  Plan.m_TargetLatency = 800ms;
+  Plan.m_Deadline = 6s;
+  Plan.m_RemoteDelay = 12ms;
+  return Plan;
+}
+
+/// \brief Runs the start of a whole system of unequal regions: entry VMs and
+/// upstreams start together, and callers follow.
+/// \param First Region whose upstreams register first.
+LoadResult runStart(std::string First, bool LargeFleet, std::uint64_t Seed) {
+  LoadPlan Plan = unequalRegions();
+  Plan.m_Length = 8s;
+  Plan.m_Lead = 10s;
+  Plan.m_RegistrationTime = 2500ms;
+  Plan.m_FirstToRegister = std::move(First);
+  Plan.m_LargeFleet = LargeFleet;
+  Plan.m_Seed = Seed;
+  return LoadModel(Plan).run();
+}
+
+/// Part of a region's requests that may run in another region than in the two
+/// seconds before, without a disruption: the users' stated bound.
+constexpr double MaxRegionShift = 0.15;
+
+// Guards against regions that began with a share of keys derived from the first
+// registrations or from the idle time before the first request: the small
+// region kept more keys than its slots can serve and refused their callers
+// while other regions had free slots.
+BOOST_AUTO_TEST_CASE(StartOfUnequalRegionsIgnoresTheOrderOfRegistration) {
+  constexpr double Tolerance = 0.01; // Two runs with other random draws.
+  for (bool LargeFleet : {true, false})
+    for (std::uint64_t Seed : {1, 2, 3})
+      BOOST_TEST_CONTEXT("large fleet " << LargeFleet << ", seed " << Seed) {
+        BOOST_TEST(runStart("small", LargeFleet, Seed).m_All.refused() <=
+                   runStart("large", LargeFleet, Seed).m_All.refused() +
+                       Tolerance);
+      }
+}
+
+// Guards against callers of a region whose requests run in other regions from
+// one moment to the next, without a disruption: an upstream there holds none of
+// their keys.
+BOOST_AUTO_TEST_CASE(StartOfUnequalRegionsMovesFewRequestsAtATime) {
+  for (bool LargeFleet : {true, false})
+    for (const char *First : {"small", "large"})
+      for (std::uint64_t Seed : {1, 2, 3})
+        BOOST_TEST_CONTEXT("large fleet " << LargeFleet << ", first " << First
+                                          << ", seed " << Seed) {
+          BOOST_TEST(runStart(First, LargeFleet, Seed).maxRegionShift() <=
+                     MaxRegionShift);
+        }
+}
+
 // Without refusals, queues at the upstreams delay all requests beyond the
 // target.
 BOOST_AUTO_TEST_CASE(OverloadInAllRegionsRefusesEarlyAndAnswersInTime) {
--- a/tests/unit/local_share_test.cpp
+++ b/tests/unit/local_share_test.cpp
@@ -119,6 +119,50 @@
   BOOST_TEST(UnreducedShares.shareOf(Stock) == 0.4);
 }
 
+// Guards against a share that was derived from the first registrations a VM
+// happened to know: a region whose upstream registered first kept all keys.
+BOOST_AUTO_TEST_CASE(ShareDoesNotDependOnWhichUpstreamRegistersFirst) {
+  LocalShareTuning Tuning;
+  for (const char *First : {"s0", "l0"}) {
+    TwoRegions System;
+    UpstreamTable Table; // As one VM comes to know it.
+    auto Register = [&](const std::string &Id) {
+      (void)Table.put(System.m_Table.find(Id)->m_Registration, Start);
+    };
+    LocalShares Shares;
+    TimePoint Now = Start;
+    Register(First);
+    Shares.update(Table, Small, Now, Tuning);
+    for (const std::string &Id : System.m_Table.ids())
+      Register(Id);
+    Shares.update(Table, Small, Now += Tuning.m_StepInterval, Tuning);
+    BOOST_TEST(Shares.shareOf(Stock) == 0.4 * Tuning.m_InitialShareFactor);
+  }
+}
+
+// Guards against keys that were assigned to a small region because it was idle
+// before the first request: its slots were full at once.
+BOOST_AUTO_TEST_CASE(ShareDoesNotGrowWithoutRequests) {
+  LocalShareTuning Tuning;
+  BOOST_TEST(shareAfter(0, 50, Tuning) == 0.4 * Tuning.m_InitialShareFactor);
+}
+
+// Guards against a peer with a different share, such as one that has just
+// started or was cut off, moving many keys of the region at once.
+BOOST_AUTO_TEST_CASE(DivergentPeerMovesTheShareByOneStepAtMost) {
+  TwoRegions System;
+  LocalShares Shares;
+  LocalShareTuning Tuning;
+  System.fillAll(2);
+  TimePoint Now = Start;
+  Shares.update(System.m_Table, Small, Now, Tuning);
+  double Before = Shares.shareOf(Stock);
+  Shares.receivedLocalShare(stableHash(Stock.str()), 1);
+  Shares.update(System.m_Table, Small, Now += Tuning.m_StepInterval, Tuning);
+  BOOST_TEST(Shares.shareOf(Stock) > Before);
+  BOOST_TEST(Shares.shareOf(Stock) <= Before + Tuning.m_MaxStep);
+}
+
 BOOST_AUTO_TEST_CASE(LossOfALocalUpstreamAllowsOverflow) {
   TwoRegions System;
   LocalShares Shares;
