A region's share of keys follows the slots until requests depend on it

Cause: LocalShares set a service's share at the first step at which a VM knew any upstream of it, and never again. While a deployment starts, upstreams register one after the other; where the first one lay in noord the share became 1 instead of 0.23. Then the share grew without a request, by up to 0.055 a second, as an idle region looks like one with room. When callers came, their keys were assigned to a tenth of the slots. Class: a controlled value that is set from an incomplete view and moves while nothing depends on it.

Change: a share that no request depends on follows the slots of the known upstreams. From the first requests on (and once no slots were added for two seconds) it changes by steps only. Found by looking for the same cause elsewhere: - the mean with the shares of peers moved a share by any amount in one step (0.3 to 0.65 by one heartbeat of a VM that had just started); now by one step; - VMs without requests of a service reported a share of their own; now they take that of the VMs with requests, at once if they have just started; - requests before the first step after a start used a share of 1; now the share is derived before them.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -98,8 +98,11 @@
     co_return false;
   m_TargetService = m_State.m_TrafficSplit.next(*m_Route);
   m_State.m_RetryBudgets[m_TargetService].recordRequest(steadyNow());
-  m_State.m_LocalShares.recordRequest(m_TargetService,
-                                      m_State.m_Settings.m_LocalShare);
+  const GatewaySettings &Settings = m_State.m_Settings;
+  m_State.m_LocalShares.deriveMissing(m_TargetService, m_State.m_Upstreams,
+                                      Settings.m_Placement, steadyNow(),
+                                      Settings.m_LocalShare);
+  m_State.m_LocalShares.recordRequest(m_TargetService, Settings.m_LocalShare);
   m_Timer.expires_at(toSteady(m_Deadline));
   m_Timer.async_wait([Self = m_SelfHandle](const NetError &Error) {
     if (Error || !*Self)
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -104,11 +104,13 @@
       Result.m_UpstreamLoads.push_back(
           {loadKey(Target.m_IdHash), Target.ownActiveRequests()});
   });
-  m_State.m_LocalShares.forEach(
-      [&Result](const ServiceName &Service, const LocalShareState &State) {
-        Result.m_ServiceShares.push_back(
-            {stableHash(Service.str()), State.m_Share, State.m_Utilization});
-      });
+  m_State.m_LocalShares.forEach([&](const ServiceName &Service,
+                                    const LocalShareState &State) {
+    // The own region needs the share, the others the utilization.
+    if (Region != m_State.m_Settings.m_Placement.m_Region || State.m_IsAdjusted)
+      Result.m_ServiceShares.push_back(
+          {stableHash(Service.str()), State.m_Share, State.m_Utilization});
+  });
   return Result;
 }
 
--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -15,41 +15,71 @@
   unsigned m_TotalSlots = 0;
   double m_LocalLoad = 0;
   double m_TotalLoad = 0;
+  unsigned m_InFlight = 0; ///< Of this VM.
   std::set<RegionName> m_Regions;
+
+  [[nodiscard]] double localUtilization() const {
+    return m_LocalSlots == 0 ? 1 : m_LocalLoad / double(m_LocalSlots);
+  }
+  [[nodiscard]] double remoteUtilization() const {
+    unsigned Slots = m_TotalSlots - m_LocalSlots;
+    return Slots == 0 ? 1 : (m_TotalLoad - m_LocalLoad) / double(Slots);
+  }
 };
 
+void addUpstream(ServiceLoad &Sum, const UpstreamTable &Table,
+                 const Upstream &Entry, const Placement &Local, TimePoint Now) {
+  if (!Table.isUsable(Entry))
+    return;
+  Sum.m_TotalSlots += Entry.m_Registration.m_Slots;
+  Sum.m_Regions.insert(Entry.m_Registration.m_Region);
+  double Load = Entry.load(Now, UpstreamHealthTuning());
+  Sum.m_TotalLoad += Load;
+  Sum.m_InFlight += Entry.m_InFlight;
+  if (Entry.m_Registration.m_Region != Local.m_Region)
+    return;
+  Sum.m_LocalSlots += Entry.m_Registration.m_Slots;
+  Sum.m_HealthyLocalUpstreams += Entry.isEjected(Now) ? 0 : 1;
+  Sum.m_LocalLoad += Load;
+}
+
 std::map<ServiceName, ServiceLoad> loadByService(const UpstreamTable &Table,
                                                  const Placement &Local,
                                                  TimePoint Now) {
   std::map<ServiceName, ServiceLoad> Result;
-  UpstreamHealthTuning Tuning;
   Table.forEach([&](const Upstream &Entry) {
-    if (!Table.isUsable(Entry))
-      return;
-    ServiceLoad &Sum = Result[Entry.m_Registration.m_Service];
-    Sum.m_TotalSlots += Entry.m_Registration.m_Slots;
-    Sum.m_Regions.insert(Entry.m_Registration.m_Region);
-    double Load = Entry.load(Now, Tuning);
-    Sum.m_TotalLoad += Load;
-    if (Entry.m_Registration.m_Region != Local.m_Region)
-      return;
-    Sum.m_LocalSlots += Entry.m_Registration.m_Slots;
-    Sum.m_HealthyLocalUpstreams += Entry.isEjected(Now) ? 0 : 1;
-    Sum.m_LocalLoad += Load;
+    addUpstream(Result[Entry.m_Registration.m_Service], Table, Entry, Local,
+                Now);
   });
   return Result;
 }
 
-/// \brief Initial share: the region's part of all slots, relative to an equal
-/// demand from every region. A region with fewer slots than that starts lower:
-/// requests for keys that no upstream has cached yet would fill its slots
-/// immediately, and its callers would be refused until the first answers.
-double initialShare(const ServiceLoad &Load, const LocalShareTuning &Tuning) {
+/// \brief The region's part of all slots, relative to an equal demand from
+/// every region. A region with fewer slots than that gets less: requests for
+/// keys that no upstream has cached yet would fill its slots immediately, and
+/// its callers would be refused until the first answers.
+double shareBySlots(const ServiceLoad &Load, const LocalShareTuning &Tuning) {
   if (Load.m_TotalSlots == 0)
     return 1;
   double Share = double(Load.m_LocalSlots) / double(Load.m_TotalSlots) *
                  double(Load.m_Regions.size());
-  return Share < 1 ? Share * Tuning.m_InitialShareFactor : 1.0;
+  return std::max(Share < 1 ? Share * Tuning.m_InitialShareFactor : 1.0,
+                  Tuning.m_MinShare);
+}
+
+/// \brief Change of the share that the utilization of the regions asks for.
+double stepByLoad(const LocalShareState &Current,
+                  const LocalShareTuning &Tuning, double MaxStep,
+                  bool LargeFleet) {
+  double Local = Current.m_Utilization;
+  double Remote = *Current.m_RemoteUtilization;
+  if (Local > Tuning.m_HighUtilization &&
+      Local > Remote + Tuning.m_UtilizationMargin)
+    return -MaxStep;
+  if (Local >= Tuning.m_LowUtilization && Local >= Remote)
+    return 0;
+  bool RemoteBusy = Remote > Tuning.m_HighUtilization;
+  return LargeFleet && !RemoteBusy ? Tuning.m_LargeFleetReturnStep : MaxStep;
 }
 
 } // namespace
@@ -59,6 +89,32 @@
   return Found == m_Shares.end() ? 1 : Found->second.m_Share;
 }
 
+void LocalShares::deriveMissing(const ServiceName &Service,
+                                const UpstreamTable &Table,
+                                const Placement &Local, TimePoint Now,
+                                const LocalShareTuning &Tuning) {
+  Share &Current = m_Shares[Service];
+  if (Current.m_IsDerived)
+    return;
+  ServiceLoad Load;
+  for (const UpstreamPtr &Entry : Table.upstreamsOf(Service))
+    addUpstream(Load, Table, *Entry, Local, Now);
+  if (Load.m_TotalSlots == 0)
+    return;
+  Current.m_IsDerived = true;
+  recordSlots(Current, Load.m_LocalSlots, Load.m_TotalSlots, Now);
+  Current.m_HealthyUpstreams = Load.m_HealthyLocalUpstreams;
+  Current.m_Share = shareBySlots(Load, Tuning);
+}
+
+void LocalShares::recordSlots(Share &Current, unsigned Local, unsigned Total,
+                              TimePoint Now) {
+  if (Total > Current.m_TotalSlots)
+    Current.m_SlotsAddedAt = Now;
+  Current.m_LocalSlots = Local;
+  Current.m_TotalSlots = Total;
+}
+
 void LocalShares::recordRequest(const ServiceName &Service,
                                 const LocalShareTuning &Tuning) {
   double &Tokens = m_Shares[Service].m_OverflowTokens;
@@ -90,45 +146,55 @@
       (LargeFleet ? Tuning.m_LargeFleetStepInterval : Tuning.m_StepInterval))
     return;
   m_LastStepAt = Now;
+  double MaxStep = LargeFleet ? Tuning.m_LargeFleetMaxStep : Tuning.m_MaxStep;
   for (const auto &[Service, Load] : loadByService(Table, Local, Now)) {
+    deriveMissing(Service, Table, Local, Now, Tuning);
     Share &Current = m_Shares[Service];
-    Current.m_LocalSlots = Load.m_LocalSlots;
-    Current.m_TotalSlots = Load.m_TotalSlots;
-    if (!std::exchange(Current.m_Initialized, true)) {
-      Current.m_Share = initialShare(Load, Tuning);
-      Current.m_HealthyUpstreams = Load.m_HealthyLocalUpstreams;
-      continue;
-    }
     if (Load.m_HealthyLocalUpstreams < Current.m_HealthyUpstreams)
       Current.m_UpstreamLostAt = Now;
     Current.m_HealthyUpstreams = Load.m_HealthyLocalUpstreams;
-    double Step = 0;
-    double LocalUtilization =
-        Load.m_LocalSlots == 0 ? 1
-                               : Load.m_LocalLoad / double(Load.m_LocalSlots);
-    Current.m_Utilization = LocalUtilization;
-    unsigned RemoteSlots = Load.m_TotalSlots - Load.m_LocalSlots;
-    double RemoteUtilization =
-        RemoteSlots == 0
-            ? 1
-            : (Load.m_TotalLoad - Load.m_LocalLoad) / double(RemoteSlots);
-    if (RemoteSlots > 0 && Current.m_RemoteUtilization)
-      RemoteUtilization = *Current.m_RemoteUtilization;
-    double MaxStep = LargeFleet ? Tuning.m_LargeFleetMaxStep : Tuning.m_MaxStep;
-    bool RemoteBusy = RemoteUtilization > Tuning.m_HighUtilization;
-    if (LocalUtilization > Tuning.m_HighUtilization &&
-        LocalUtilization > RemoteUtilization + Tuning.m_UtilizationMargin)
-      Step = -MaxStep;
-    else if (LocalUtilization < Tuning.m_LowUtilization ||
-             LocalUtilization < RemoteUtilization)
-      Step =
-          LargeFleet && !RemoteBusy ? Tuning.m_LargeFleetReturnStep : MaxStep;
-    double Average = (Current.m_Share + Current.m_PeerShareSum) /
-                     (Current.m_PeerShareCount + 1);
-    Current.m_Share = std::clamp(Average + Step, Tuning.m_MinShare, 1.0);
-    Current.m_PeerShareSum = 0;
-    Current.m_PeerShareCount = 0;
+    recordSlots(Current, Load.m_LocalSlots, Load.m_TotalSlots, Now);
+    Current.m_Utilization = Load.localUtilization();
+    if (Load.m_InFlight > 0)
+      Current.m_CarriedAt = Now;
+    LocalShareState Inputs = Current;
+    if (!Inputs.m_RemoteUtilization || Load.m_LocalSlots == Load.m_TotalSlots)
+      Inputs.m_RemoteUtilization = Load.remoteUtilization();
+    step(Current, stepByLoad(Inputs, Tuning, MaxStep, LargeFleet),
+         shareBySlots(Load, Tuning), Now, Tuning, MaxStep);
+  }
+}
+
+void LocalShares::step(Share &Current, double StepByLoad, double BySlots,
+                       TimePoint Now, const LocalShareTuning &Tuning,
+                       double MaxStep) {
+  bool Carries = Current.m_CarriedAt != TimePoint() &&
+                 Now - Current.m_CarriedAt < Tuning.m_CarryTimeout;
+  bool SlotsSettled = Now - Current.m_SlotsAddedAt >= Tuning.m_SlotsSettleTime;
+  unsigned Peers = std::exchange(Current.m_PeerShareCount, 0);
+  double PeerSum = std::exchange(Current.m_PeerShareSum, 0);
+
+  double Target = Current.m_Share;
+  bool AtOnce = false;
+  if (!Current.m_IsLearned && Peers > 0) {
+    Current.m_IsLearned = true;
+    Target = PeerSum / Peers;
+    AtOnce = true;
+  } else if (!Current.m_IsLearned && !(Carries && SlotsSettled)) {
+    // An overloaded region moves keys out even if it has slots for more.
+    Target = Carries && StepByLoad < 0 ? Target + StepByLoad : BySlots;
+    AtOnce = !Carries;
+  } else if (Carries) {
+    Current.m_IsLearned = true;
+    Target = (Current.m_Share + PeerSum) / (Peers + 1) + StepByLoad;
+  } else if (Peers > 0) {
+    Target = PeerSum / Peers;
   }
+  if (!AtOnce)
+    Target = std::clamp(Target, Current.m_Share - MaxStep,
+                        Current.m_Share + MaxStep);
+  Current.m_Share = std::clamp(Target, Tuning.m_MinShare, 1.0);
+  Current.m_IsAdjusted = Current.m_IsLearned && Carries;
 }
 
 void LocalShares::receivedLocalShare(std::uint64_t ServiceHash, double Share) {
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -32,6 +32,12 @@
   double m_LowUtilization = 0.45;
   double m_UtilizationMargin = 0.1;
   double m_MinShare = 0.05; ///< Keeps a region's own upstreams in use.
+  /// Registrations arrive one after the other when a whole deployment starts.
+  /// The share is derived from the slots until none were added for this long.
+  Duration m_SlotsSettleTime = 2s;
+  /// A VM that has had no request of a service in flight for this long takes
+  /// the share of the VMs that have.
+  Duration m_CarryTimeout = 2s;
   /// A region with fewer slots than the average starts with this fraction of
   /// its share by slots.
   double m_InitialShareFactor = 0.75;
@@ -53,19 +59,34 @@
   std::optional<double> m_RemoteUtilization;
   unsigned m_LocalSlots = 0;
   unsigned m_TotalSlots = 0;
+  /// Whether it is the result of steps under load. Only such shares are sent to
+  /// the VMs of the own region.
+  bool m_IsAdjusted = false;
 };
 
 /// \brief Controls, for each service, the share of the keys of the own region's
 /// callers that the region's upstreams serve. The other keys stay assigned to
 /// other regions, so that their cached state stays warm there.
 ///
-/// \details Entry VMs of a region converge by averaging the shares that they
-/// send each other. Until then, a few keys are served by two upstreams.
+/// \details A share that no request depends on yet follows the slots of the
+/// known upstreams. From the first requests on it changes by small steps only,
+/// whatever the cause: the region's load, the shares of its other VMs, or
+/// further registrations. Without requests it doesn't change.
+///
+/// Entry VMs of a region converge by averaging the shares that they send each
+/// other. Until then, a few keys are served by two upstreams. A VM that has
+/// just started takes the share of its peers at once.
 class LocalShares {
 public:
   /// \brief The current share, 0 to 1.
   [[nodiscard]] double shareOf(const ServiceName &Service) const;
 
+  /// \brief Derives the share of a service from the slots of its upstreams if
+  /// it has none yet. Called before each request, as the first one may arrive
+  /// before the first step.
+  void deriveMissing(const ServiceName &Service, const UpstreamTable &Table,
+                     const Placement &Local, TimePoint Now,
+                     const LocalShareTuning &Tuning);
   /// \brief Counts a request, which adds to the overflow budget.
   void recordRequest(const ServiceName &Service,
                      const LocalShareTuning &Tuning);
@@ -95,7 +116,11 @@
 
 private:
   struct Share : LocalShareState {
-    bool m_Initialized = false; ///< Set by the first step.
+    bool m_IsDerived = false; ///< Has a value; 1 until then.
+    /// False as long as the share follows the slots.
+    bool m_IsLearned = false;
+    TimePoint m_SlotsAddedAt{}; ///< Last increase of m_TotalSlots.
+    TimePoint m_CarriedAt{};    ///< Last step with a request in flight.
     double m_PeerShareSum = 0;  ///< Received since the last step.
     unsigned m_PeerShareCount = 0;
     /// Upstreams of the own region that were in use at the last step.
@@ -103,6 +128,15 @@
     TimePoint m_UpstreamLostAt{}; ///< Last loss of one of them; zero: never.
     double m_OverflowTokens = 0;  ///< Overflows that are allowed now.
   };
+
+  static void recordSlots(Share &Current, unsigned Local, unsigned Total,
+                          TimePoint Now);
+  /// \param StepByLoad Change that the utilization asks for.
+  /// \param BySlots Share derived from the known slots.
+  static void step(Share &Current, double StepByLoad, double BySlots,
+                   TimePoint Now, const LocalShareTuning &Tuning,
+                   double MaxStep);
+
   std::map<ServiceName, Share> m_Shares;
   TimePoint m_LastStepAt{};
 };
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -293,9 +293,9 @@
   Sender.m_Shares.forEach([&](const ServiceName &Name,
                               const LocalShareState &State) {
     std::uint64_t Hash = stableHash(Name.str());
-    if (IsLocal)
+    if (IsLocal && State.m_IsAdjusted)
       Receiver.m_Shares.receivedLocalShare(Hash, State.m_Share);
-    else
+    if (!IsLocal)
       Receiver.m_Shares.receivedRemoteUtilization(Hash, State.m_Utilization);
   });
 }
@@ -314,6 +314,8 @@
       LocalVms.push_back(Vm.get());
   EntryNode &Vm = *LocalVms[m_Rng(std::uint32_t(LocalVms.size()))];
   const LocalShareTuning &ShareTuning = m_Plan.m_ShareTuning;
+  Vm.m_Shares.deriveMissing(Service, Vm.m_Upstreams, Vm.m_Placement,
+                            m_Events.m_Now, ShareTuning);
   Vm.m_Shares.recordRequest(Service, ShareTuning);
   ChoiceInput Input{m_Route, nullptr, Service};
   Input.m_KeyHash = stableHash(std::to_string(Current->m_Key));
--- a/tests/unit/local_share_test.cpp
+++ b/tests/unit/local_share_test.cpp
@@ -140,6 +140,20 @@
   }
 }
 
+// Guards against the first requests after a start of the VM, which came before
+// the first step of the share and all went to the own region.
+BOOST_AUTO_TEST_CASE(FirstRequestAfterAStartUsesAShareBySlots) {
+  TwoRegions System;
+  LocalShares Shares;
+  LocalShareTuning Tuning;
+  Shares.deriveMissing(Stock, System.m_Table, Small, Start, Tuning);
+  BOOST_TEST(Shares.shareOf(Stock) == 0.4 * Tuning.m_InitialShareFactor);
+  // The requests in flight at the first step don't change that.
+  System.fillAll(2);
+  Shares.update(System.m_Table, Small, Start + Tuning.m_StepInterval, Tuning);
+  BOOST_TEST(Shares.shareOf(Stock) == 0.4 * Tuning.m_InitialShareFactor);
+}
+
 // Guards against keys that were assigned to a small region because it was idle
 // before the first request: its slots were full at once.
 BOOST_AUTO_TEST_CASE(ShareDoesNotGrowWithoutRequests) {
@@ -155,7 +169,8 @@
   LocalShareTuning Tuning;
   System.fillAll(2);
   TimePoint Now = Start;
-  Shares.update(System.m_Table, Small, Now, Tuning);
+  for (int I = 0; I < 50; ++I)
+    Shares.update(System.m_Table, Small, Now += Tuning.m_StepInterval, Tuning);
   double Before = Shares.shareOf(Stock);
   Shares.receivedLocalShare(stableHash(Stock.str()), 1);
   Shares.update(System.m_Table, Small, Now += Tuning.m_StepInterval, Tuning);
