Steps of the shares leave room for overflow, refusals and chance

What callers would see: in a burst of one region's callers, or in the first seconds of a small fleet, over 0.15 of a region's requests run in another region than two seconds before.

Cause: ten steps of the share moved 0.11 of the keys in two seconds, which left 0.04 for overflow (0.03), for keys that are asked for more often than others, and for refusals: where the own region refuses, the requests that run elsewhere weigh more, and so does each step.

Change: steps of 0.008 (0.016 in a large fleet), divided by the leverage of a step: the derivative of the part that runs in the own region by the share, from the served fractions of both sides.

Tried and left out: an account, over all services of a VM, of what the steps of the last two seconds have moved (limits of 0.07 to 0.1, steps of 0.011).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -159,6 +159,7 @@
     if (cancelled())
       co_return co_await giveUp(Last, MissingConfigRetryAfter, "deadline");
     Choice Selected = choose();
+    m_State.m_LocalShares.recordChoice(m_TargetService, Selected);
     if (!Selected.m_Upstream) {
       m_Choice.m_IsLocalKey = Selected.m_IsLocalKey;
       co_return co_await giveUp(Last, Selected.m_RetryAfter,
@@ -166,8 +167,6 @@
     }
     m_Choice = Selected;
     UpstreamPtr Target = m_Choice.m_Upstream;
-    if (m_Choice.m_IsOverflow)
-      m_State.m_LocalShares.recordOverflow(m_TargetService);
     m_Tried.push_back(Target);
     Last = co_await attempt(Target);
     switch (Last) {
--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -134,9 +134,40 @@
   return RecentLoss || Current.m_OverflowTokens >= 1;
 }
 
-void LocalShares::recordOverflow(const ServiceName &Service) {
-  double &Tokens = m_Shares[Service].m_OverflowTokens;
-  Tokens = std::max(Tokens - 1, 0.0);
+void LocalShares::recordChoice(const ServiceName &Service,
+                               const Choice &Selected) {
+  Share &Current = m_Shares[Service];
+  if (Selected.m_IsOverflow)
+    Current.m_OverflowTokens = std::max(Current.m_OverflowTokens - 1, 0.0);
+  Assigned &Keys =
+      Selected.m_IsLocalKey ? Current.m_LocalKeys : Current.m_RemoteKeys;
+  Keys.m_Requests += 1;
+  Keys.m_Refused += Selected.m_Upstream ? 0 : 1;
+}
+
+double LocalShares::Assigned::servedFraction() const {
+  // With few requests, the fraction would be a matter of chance.
+  constexpr double MinRequests = 20;
+  constexpr double MinFraction = 0.1;
+  return m_Requests < MinRequests
+             ? 1
+             : std::max(1 - m_Refused / m_Requests, MinFraction);
+}
+
+void LocalShares::Assigned::decay() {
+  constexpr double KeptFraction = 0.9; // Of each step.
+  m_Requests *= KeptFraction;
+  m_Refused *= KeptFraction;
+}
+
+double LocalShares::leverage(const Share &Current) {
+  // The part of the requests that run in the own region is
+  //   Local * Share / (Local * Share + Remote * (1 - Share));
+  // its derivative by the share:
+  double Local = Current.m_LocalKeys.servedFraction();
+  double Remote = Current.m_RemoteKeys.servedFraction();
+  double Served = Local * Current.m_Share + Remote * (1 - Current.m_Share);
+  return Local * Remote / (Served * Served);
 }
 
 void LocalShares::update(const UpstreamTable &Table, const Placement &Local,
@@ -160,8 +191,11 @@
     LocalShareState Inputs = Current;
     if (!Inputs.m_RemoteUtilization || Load.m_LocalSlots == Load.m_TotalSlots)
       Inputs.m_RemoteUtilization = Load.remoteUtilization();
-    step(Current, stepByLoad(Inputs, Tuning, MaxStep, LargeFleet),
-         shareBySlots(Load, Tuning), Now, Tuning, MaxStep);
+    double Step = MaxStep / std::max(leverage(Current), 1.0);
+    Current.m_LocalKeys.decay();
+    Current.m_RemoteKeys.decay();
+    step(Current, stepByLoad(Inputs, Tuning, Step, LargeFleet),
+         shareBySlots(Load, Tuning), Now, Tuning, Step);
   }
 }
 
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -16,9 +16,9 @@
   Duration m_LargeFleetStepInterval = 420ms;
   /// Largest change per step. Ten steps take two seconds, in which a region may
   /// move at most 0.15 of its requests to other regions.
-  double m_MaxStep = 0.011;
+  double m_MaxStep = 0.008;
   /// The same for a large fleet; five of its steps take two seconds.
-  double m_LargeFleetMaxStep = 0.022;
+  double m_LargeFleetMaxStep = 0.016;
   /// Keys return to a region of a large fleet this slowly while other regions
   /// have capacity for them: the own upstreams don't hold them any more, and at
   /// the region's next peak they would have to move out again.
@@ -93,8 +93,9 @@
   /// \brief Whether the next request may overflow into other regions.
   [[nodiscard]] bool mayOverflow(const ServiceName &Service, TimePoint Now,
                                  const LocalShareTuning &Tuning) const;
-  /// \brief Deducts a request that overflowed from the budget.
-  void recordOverflow(const ServiceName &Service);
+  /// \brief Records what was decided for an attempt: an overflow is deducted
+  /// from the budget.
+  void recordChoice(const ServiceName &Service, const Choice &Selected);
 
   /// \brief Adjusts every share by one step if the step interval has passed.
   /// \param LargeFleet Whether the VMs of a region learn of each other's loads
@@ -115,6 +116,15 @@
   }
 
 private:
+  /// \brief Requests whose keys are assigned to one side, with exponential
+  /// decay.
+  struct Assigned {
+    double m_Requests = 0;
+    double m_Refused = 0;
+    [[nodiscard]] double servedFraction() const;
+    void decay();
+  };
+
   struct Share : LocalShareState {
     bool m_IsDerived = false; ///< Has a value; 1 until then.
     /// False as long as the share follows the slots.
@@ -127,10 +137,16 @@
     unsigned m_HealthyUpstreams = 0;
     TimePoint m_UpstreamLostAt{}; ///< Last loss of one of them; zero: never.
     double m_OverflowTokens = 0;  ///< Overflows that are allowed now.
+    Assigned m_LocalKeys;
+    Assigned m_RemoteKeys;
   };
 
   static void recordSlots(Share &Current, unsigned Local, unsigned Total,
                           TimePoint Now);
+  /// \brief Requests that run in another region for each request that a change
+  /// of the share assigns to it; above 1 if the other requests are refused more
+  /// often, as those that run then weigh more.
+  [[nodiscard]] static double leverage(const Share &Current);
   /// \param StepByLoad Change that the utilization asks for.
   /// \param BySlots Share derived from the known slots.
   static void step(Share &Current, double StepByLoad, double BySlots,
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -328,10 +328,9 @@
   Input.m_MeanProcessingTime = Vm.m_Upstreams.meanProcessingTime(Service);
   Choice Selected =
       m_Plan.m_Strategy(Input, Vm.m_Upstreams, Vm.m_Placement, m_Plan.m_Tuning);
+  Vm.m_Shares.recordChoice(Service, Selected);
   if (!Selected.m_Upstream)
     return handleRefusal(Current, Selected.m_RetryAfter);
-  if (Selected.m_IsOverflow)
-    Vm.m_Shares.recordOverflow(Service);
   Current->m_Vm = &Vm;
   Current->m_Upstream = Selected.m_Upstream;
   Current->m_LoadBefore = Selected.m_Load;
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -165,6 +165,44 @@
         }
 }
 
+/// \brief Largest region shift when the callers of all or some regions multiply
+/// two seconds after the first request.
+double shiftInABurst(std::initializer_list<const char *> Regions, double Factor,
+                     bool LargeFleet,
+                     const steer::LocalShareTuning &ShareTuning = {}) {
+  LoadPlan Plan = unequalRegions();
+  Plan.m_Length = 10s;
+  Plan.m_Lead = 4s;
+  Plan.m_LargeFleet = LargeFleet;
+  Plan.m_ShareTuning = ShareTuning;
+  LoadModel Model(Plan);
+  Model.at(Plan.m_Lead + 2s, [&Model, Regions, Factor] {
+    for (const char *Region : Regions)
+      Model.setLoad(Region, Factor);
+  });
+  return Model.run().maxRegionShift();
+}
+
+// Guards against several mechanisms that each move few requests, but too many
+// together: steps of the share, overflow, and refusals in one region, after
+// which those that run elsewhere weigh more. A growing number of callers is no
+// disruption that would excuse it.
+BOOST_AUTO_TEST_CASE(BurstMovesFewRequestsAtATime) {
+  for (bool LargeFleet : {true, false})
+    BOOST_TEST_CONTEXT("large fleet " << LargeFleet) {
+      BOOST_TEST(shiftInABurst({"large"}, 4, LargeFleet) <= MaxRegionShift);
+      BOOST_TEST(shiftInABurst({"small"}, 3, LargeFleet) <= MaxRegionShift);
+      BOOST_TEST(shiftInABurst({"small", "large", "other"}, 3, LargeFleet) <=
+                 MaxRegionShift);
+      // Control: steps that use most of the bound by themselves.
+      steer::LocalShareTuning LargeSteps;
+      LargeSteps.m_MaxStep = 0.013;
+      LargeSteps.m_LargeFleetMaxStep = 0.026;
+      BOOST_TEST(shiftInABurst({"large"}, 4, LargeFleet, LargeSteps) >
+                 MaxRegionShift);
+    }
+}
+
 // Without refusals, queues at the upstreams delay all requests beyond the
 // target.
 BOOST_AUTO_TEST_CASE(OverloadInAllRegionsRefusesEarlyAndAnswersInTime) {
--- a/tests/unit/local_share_test.cpp
+++ b/tests/unit/local_share_test.cpp
@@ -38,10 +38,8 @@
     Input.m_MayOverflow = Shares.mayOverflow(Stock, Start, Tuning);
     Choice Selected =
         chooseByKeyLocalFirst(Input, System.m_Table, Small, System.m_Tuning);
-    if (!Selected.m_IsOverflow)
-      continue;
-    Shares.recordOverflow(Stock);
-    ++Overflowed;
+    Shares.recordChoice(Stock, Selected);
+    Overflowed += Selected.m_IsOverflow ? 1 : 0;
   }
   return Overflowed;
 }
