Timeouts at a busy upstream don't open overflow without a limit

What callers would see: in an overloaded region, up to all requests that find no slot run in other regions for ten seconds, where nothing holds their keys; the rule on requests that change their region (SHIFT) would break.

Cause: overflow is free for ten seconds after the loss of an upstream of the own region, and an ejected one counted as lost. Requests that time out in the queue of a busy upstream raise its failure rate and eject it.

Change: only an upstream that is gone, or ejected after consecutive failures, counts as lost. Ejection itself is as before.

TimeoutsAtABusyUpstreamDontAllowOverflow fails without the change; its control is an upstream that answers nobody.

--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -39,7 +39,7 @@
   if (Entry.m_Registration.m_Region != Local.m_Region)
     return;
   Sum.m_LocalSlots += Entry.m_Registration.m_Slots;
-  Sum.m_HealthyLocalUpstreams += Entry.isEjected(Now) ? 0 : 1;
+  Sum.m_HealthyLocalUpstreams += Entry.isFailing(Now) ? 0 : 1;
   Sum.m_LocalLoad += Load;
 }
 
--- a/src/steer/upstream.cpp
+++ b/src/steer/upstream.cpp
@@ -40,10 +40,11 @@
   if (!AnswersOthers)
     ++m_ConsecutiveFailures;
   m_FailureRate += (1 - m_FailureRate) * Tuning.m_SampleWeight;
-  bool Eject = m_ConsecutiveFailures >= Tuning.m_EjectAfterFailures ||
-               m_FailureRate > Tuning.m_EjectFailureRate;
+  bool FailsAlways = m_ConsecutiveFailures >= Tuning.m_EjectAfterFailures;
+  bool Eject = FailsAlways || m_FailureRate > Tuning.m_EjectFailureRate;
   if (!Eject || isEjected(Now))
     return false;
+  m_EjectedAfterFailures = FailsAlways;
   m_LastEjection = m_LastEjection == Duration::zero()
                        ? Tuning.m_FirstEjection
                        : std::min(m_LastEjection * 2, Tuning.m_MaxEjection);
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -132,6 +132,11 @@
   [[nodiscard]] bool isEjected(TimePoint Now) const noexcept {
     return Now < m_EjectedUntil;
   }
+  /// \brief Whether it is ejected after consecutive failures, and not for a
+  /// high failure rate, which requests that time out in its queue cause too.
+  [[nodiscard]] bool isFailing(TimePoint Now) const noexcept {
+    return isEjected(Now) && m_EjectedAfterFailures;
+  }
   [[nodiscard]] bool isQuiet(TimePoint Now) const noexcept {
     return Now < m_QuietUntil;
   }
@@ -162,6 +167,7 @@
   double m_FailureRate = 0; ///< Exponential moving average, 0 to 1.
   TimePoint m_EjectedUntil{};
   Duration m_LastEjection{};
+  bool m_EjectedAfterFailures = false; ///< Reason of the last ejection.
 };
 
 using UpstreamPtr = boost::intrusive_ptr<Upstream>;
--- a/tests/unit/local_share_test.cpp
+++ b/tests/unit/local_share_test.cpp
@@ -190,6 +190,28 @@
   BOOST_TEST(!Shares.mayOverflow(Stock, Now + 20s, Tuning));
 }
 
+// Guards against overflow without a limit in a region that is merely
+// overloaded: requests that time out in the queue of an upstream eject it.
+BOOST_AUTO_TEST_CASE(TimeoutsAtABusyUpstreamDontAllowOverflow) {
+  auto MayOverflowAfter = [](bool AnswersOthers) {
+    TwoRegions System;
+    LocalShares Shares;
+    LocalShareTuning Tuning;
+    TimePoint Now = Start;
+    Shares.update(System.m_Table, Small, Now, Tuning);
+    Shares.recordRequest(Stock, Tuning);
+    UpstreamPtr Busy = System.m_Table.find("s0");
+    Now += Tuning.m_StepInterval;
+    while (!Busy->isEjected(Now))
+      (void)Busy->recordFailure(Now, System.m_Tuning.m_HealthTuning,
+                                AnswersOthers);
+    Shares.update(System.m_Table, Small, Now, Tuning);
+    return Shares.mayOverflow(Stock, Now, Tuning);
+  };
+  BOOST_TEST(!MayOverflowAfter(true));
+  BOOST_TEST(MayOverflowAfter(false)); // Control: it answers nobody.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace mustardspoke::steer
