Lack of descriptors doesn't eject an upstream

What callers see: while a VM has no descriptor left, requests to healthy upstreams fail, the upstreams are ejected, and their keys go to others that don't hold them; the loss also opened overflow into other regions for ten seconds.

Cause: each error of opening a connection counted as a failure of the upstream.

Change: errors that stem from this VM's own limits (descriptors, memory, local addresses) are logged as connection-not-opened and don't count.

LackOfDescriptorsDoesNotEjectAnUpstream fails without the change.

--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -37,6 +37,16 @@
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
+/// \brief Whether opening a connection failed for lack of a resource of this
+/// VM, which says nothing about the upstream.
+bool isLocalShortage(const NetError &Error) {
+  return Error == std::errc::too_many_files_open ||
+         Error == std::errc::too_many_files_open_in_system ||
+         Error == std::errc::no_buffer_space ||
+         Error == std::errc::not_enough_memory ||
+         Error == std::errc::address_not_available;
+}
+
 /// \brief Sends a request's body while it arrives.
 /// \details Not a member, as the exchange may end first.
 /// \param Sent Set when the whole body has been sent.
@@ -88,9 +98,12 @@
   Connection = co_await m_Pool.open(
       Target, std::min(ConnectTimeout, remaining()), Error);
   if (Error) {
-    bool Ejected = Target->recordFailure(
-        steadyNow(), m_State.m_Settings.m_Choice.m_HealthTuning);
-    logEvent(LogLevel::Warning, "upstream-unreachable",
+    bool LocalShortage = isLocalShortage(Error);
+    bool Ejected = !LocalShortage &&
+                   Target->recordFailure(
+                       steadyNow(), m_State.m_Settings.m_Choice.m_HealthTuning);
+    logEvent(LogLevel::Warning,
+             LocalShortage ? "connection-not-opened" : "upstream-unreachable",
              {{"id", m_Metadata.m_RequestId},
               {"upstream", Target->m_Registration.m_Id},
               {"address", Target->m_Registration.m_Address},
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -5,6 +5,9 @@
 
 #include "support/exchange_rig.h"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 using namespace mustardspoke;
 using namespace mustardspoke::steer;
 using namespace mustardspoke::test;
@@ -30,6 +33,30 @@
   }
 }
 
+/// \brief Takes all descriptors that the process may still open.
+class DescriptorHog {
+public:
+  void takeAll() {
+    ::getrlimit(RLIMIT_NOFILE, &m_Limit);
+    rlimit Lower = m_Limit;
+    Lower.rlim_cur = std::min<rlim_t>(Lower.rlim_cur, MaxDescriptors);
+    ::setrlimit(RLIMIT_NOFILE, &Lower);
+    for (int Taken = ::dup(0); Taken >= 0; Taken = ::dup(0))
+      m_Taken.push_back(Taken);
+  }
+  void releaseAll() {
+    for (int Taken : std::exchange(m_Taken, {}))
+      ::close(Taken);
+    ::setrlimit(RLIMIT_NOFILE, &m_Limit);
+  }
+
+private:
+  static constexpr rlim_t MaxDescriptors = 1024;
+
+  rlimit m_Limit{};
+  std::vector<int> m_Taken;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ExchangeFlow)
@@ -65,6 +92,28 @@
   BOOST_TEST(Responses[1].m_Body == "b");
 }
 
+// Guards against a VM that ejected healthy upstreams because it had no
+// descriptor left for a connection to them.
+BOOST_AUTO_TEST_CASE(LackOfDescriptorsDoesNotEjectAnUpstream) {
+  ExchangeRig R;
+  R.upstream("u", echo);
+  static DescriptorHog Hog;
+  R.m_State.m_Strategies.m_Choose =
+      [](const ChoiceInput &Input, const UpstreamTable &Table,
+         const Placement &Local, const ChoiceTuning &Tuning) {
+        Hog.takeAll();
+        return chooseByKeyLocalFirst(Input, Table, Local, Tuning);
+      };
+  for (int I = 0; I < 4; ++I) {
+    HttpResponse Response = R.ask(get("a"));
+    Hog.releaseAll();
+    BOOST_TEST(Response.m_Head.m_Status == 503U);
+  }
+  BOOST_TEST(!R.m_State.m_Upstreams.find("u")->isEjected(steadyNow()));
+  R.m_State.m_Strategies = {};
+  BOOST_TEST(R.ask(get("b")).m_Head.m_Status == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(UnsafeRequestWithALostResponseIsNotRetried) {
   ExchangeRig R;
   unsigned Runs = 0;
