VMs that carry a region's traffic hear each other first

What callers see: on large deployments, requests to upstreams that are busier than the VM knows, and keys moved by an outdated view.

Cause: heartbeats of a large fleet go to random VMs of the region. Nine of 98 carry the traffic; on paper each hears a given other one every eight seconds, and loads count for 1.5 s.

Change: a VM with requests in flight sends its heartbeats to VMs that have reported loads in the last 20 s, but for one that goes to any VM, which keeps the ages of all travelling. As many datagrams as before; fleets whose carriers fit are told all of them.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -148,8 +148,8 @@
   for (;;) {
     const RegionName &LocalRegion = m_State.m_Settings.m_Placement.m_Region;
     HeartbeatCache Heartbeats(*this);
-    std::vector<Fleet::Recipient> Peers =
-        m_State.m_Fleet.nextRecipients(m_Round);
+    std::vector<Fleet::Recipient> Peers = m_State.m_Fleet.nextRecipients(
+        m_Round, steadyNow(), m_State.m_InFlight > 0);
     for (const Fleet::Recipient &Peer : Peers) {
       bool Brief = !Peer.m_FirstContact && m_Round % FullHeartbeatInterval != 0;
       send(Heartbeats.bytesFor(Peer.m_State.m_Region, Brief),
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -77,6 +77,8 @@
   auto Found = m_Peers.find(Vm);
   if (Found == m_Peers.end())
     return;
+  if (!Loads.empty())
+    Found->second.m_CarriedAt = Now;
   Found->second.m_Loads = std::move(Loads);
   Found->second.m_LoadsReceivedAt = Now;
 }
@@ -143,9 +145,11 @@
   return Live;
 }
 
-std::vector<Fleet::Recipient> Fleet::nextRecipients(unsigned Round) {
+std::vector<Fleet::Recipient>
+Fleet::nextRecipients(unsigned Round, TimePoint Now, bool Carries) {
   std::vector<Recipient> Result;
   std::vector<const EntryVm *> Local;
+  std::vector<const EntryVm *> LocalCarriers;
   std::vector<const EntryVm *> Remote;
   std::size_t MaxFirstContacts =
       isSmall() ? m_Peers.size() : m_Tuning.m_FirstContactsPerHeartbeat;
@@ -156,8 +160,11 @@
       if (isSmall())
         continue;
     }
-    (Entry.m_State.m_Region == m_Self.m_Region ? Local : Remote)
-        .push_back(&Entry.m_State);
+    bool IsLocal = Entry.m_State.m_Region == m_Self.m_Region;
+    (IsLocal ? Local : Remote).push_back(&Entry.m_State);
+    if (IsLocal && Entry.m_CarriedAt &&
+        Now - *Entry.m_CarriedAt < m_Tuning.m_CarrierTimeout)
+      LocalCarriers.push_back(&Entry.m_State);
   }
   if (isSmall()) {
     for (const EntryVm *Vm : Local)
@@ -169,17 +176,23 @@
   }
   // Recipients are random: with the same fixed rotation on all VMs,
   // information would circulate among the same few of them.
-  auto AddRandom = [&](std::span<const EntryVm *const> Vms, std::size_t Count) {
+  auto Add = [&](std::span<const EntryVm *const> Vms, std::size_t Count) {
     for (std::size_t I = 0; I < std::min(Count, Vms.size()); ++I) {
-      std::uint64_t Random = pseudoRandom(std::uint64_t(Round) * Count + I);
-      Result.push_back({*Vms[Random % Vms.size()]});
+      std::size_t Random = pseudoRandom(std::uint64_t(Round) * Count + I);
+      Result.push_back({*Vms[Vms.size() <= Count ? I : Random % Vms.size()]});
     }
   };
   std::size_t Scaled = m_Tuning.m_MaxLocalPeersPerHeartbeat *
                        m_Tuning.m_FullRateFleetSize / m_Peers.size();
-  AddRandom(Local, std::clamp(Scaled, m_Tuning.m_MinLocalPeersPerHeartbeat,
-                              m_Tuning.m_MaxLocalPeersPerHeartbeat));
-  AddRandom(Remote, m_Tuning.m_RemotePeersPerHeartbeat);
+  std::size_t LocalCount =
+      std::clamp(Scaled, m_Tuning.m_MinLocalPeersPerHeartbeat,
+                 m_Tuning.m_MaxLocalPeersPerHeartbeat);
+  // At least one recipient is any VM, so that the ages reach all of them.
+  std::size_t CarrierCount =
+      Carries ? std::min(LocalCarriers.size(), LocalCount - 1) : 0;
+  Add(LocalCarriers, CarrierCount);
+  Add(Local, LocalCount - CarrierCount);
+  Add(Remote, m_Tuning.m_RemotePeersPerHeartbeat);
   return Result;
 }
 
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -74,6 +74,10 @@
   std::size_t m_MinLocalPeersPerHeartbeat = 3;
   std::size_t m_RemotePeersPerHeartbeat = 1;
   std::size_t m_MaxAgesPerHeartbeat = 32; ///< VMs that one heartbeat reports.
+  /// A peer that has reported loads within this time carries traffic. VMs of a
+  /// region that carry traffic hear each other first, as the others put no load
+  /// on upstreams.
+  Duration m_CarrierTimeout = 20s;
   /// Additional recipients that have received no heartbeat of this incarnation
   /// yet; a fleet of 420 is contacted within 1.4 s.
   std::size_t m_FirstContactsPerHeartbeat = 60;
@@ -145,7 +149,9 @@
   };
   /// \brief The recipients of heartbeat number \p Round; each new incarnation
   /// of a peer receives one soon.
-  [[nodiscard]] std::vector<Recipient> nextRecipients(unsigned Round);
+  /// \param Carries Whether this VM carries traffic.
+  [[nodiscard]] std::vector<Recipient>
+  nextRecipients(unsigned Round, TimePoint Now, bool Carries);
   /// \brief A known peer by the hash of its name.
   /// \returns Null if no such VM is known in that incarnation.
   [[nodiscard]] const EntryVm *findPeer(std::uint64_t NameHash,
@@ -207,6 +213,7 @@
     std::optional<TimePoint> m_LastHeardAt;
     std::vector<PeerLoad> m_Loads;
     TimePoint m_LoadsReceivedAt{};
+    std::optional<TimePoint> m_CarriedAt; ///< Last report of any load.
     /// A heartbeat was sent to its current incarnation.
     bool m_Contacted = false;
   };
--- a/tests/unit/fleet_members_test.cpp
+++ b/tests/unit/fleet_members_test.cpp
@@ -143,7 +143,8 @@
   std::map<std::string, unsigned> Sent;
   std::map<std::string, unsigned> FirstContacts;
   for (unsigned Round = 0; Round < 30; ++Round)
-    for (const Fleet::Recipient &To : Self.nextRecipients(Round)) {
+    for (const Fleet::Recipient &To :
+         Self.nextRecipients(Round, Start, false)) {
       ++Sent[To.m_State.m_Vm.str()];
       FirstContacts[To.m_State.m_Vm.str()] += To.m_FirstContact ? 1 : 0;
     }
@@ -168,6 +169,7 @@
   /// Every n-th datagram is lost; 0: none.
   std::size_t m_LossInterval = 0;
   bool m_SendReaderAges = true;
+  std::set<std::size_t> m_Carriers; ///< VMs with requests in flight.
   std::size_t m_SentDatagrams = 0;
   std::size_t m_RoleChanges = 0; ///< VMs that started or stopped reading.
   std::vector<Fleet> m_Views;
@@ -206,13 +208,18 @@
       std::vector<PeerAge> ReaderAges;
       if (m_SendReaderAges)
         ReaderAges = m_Views[From].readerAgesToSend(m_Now);
-      for (const Fleet::Recipient &To : m_Views[From].nextRecipients(m_Round)) {
+      for (const Fleet::Recipient &To : m_Views[From].nextRecipients(
+               m_Round, m_Now, m_Carriers.contains(From))) {
         ++m_Datagrams;
         ++m_SentDatagrams;
         if (m_LossInterval > 0 && m_SentDatagrams % m_LossInterval == 0)
           continue;
         Fleet &Other = m_Views[m_Index[To.m_State.m_Vm]];
         (void)Other.receivedHeartbeat(m_Views[From].m_Self, m_Now);
+        std::vector<PeerLoad> Loads;
+        if (m_Carriers.contains(From))
+          Loads.push_back({std::uint32_t(From), 1});
+        Other.setPeerLoads(Self.m_Vm, Loads, m_Now);
         for (const PeerAge &One : Ages)
           Other.receivedAge(One, m_Now);
         if (Other.m_Self.m_Region == Self.m_Region)
@@ -341,6 +348,25 @@
   }
 }
 
+// Guards against the VMs of a region that carry its traffic deciding by loads
+// that they hear from each other every eight seconds: a load counts for 1.5 s.
+BOOST_AUTO_TEST_CASE(CarriersOfALargeRegionKnowEachOthersLoads) {
+  LargeFleet Vms(3, 98);
+  Vms.m_LossInterval = 20;
+  Vms.m_Carriers = {0, 11, 22, 33, 44, 55, 66, 77, 88};
+  Vms.run(20s); // Until the carriers have heard of each other.
+  std::size_t Known = 0;
+  std::size_t Asked = 0;
+  for (int Round = 0; Round < 40; ++Round) {
+    Vms.exchangeHeartbeats();
+    for (std::size_t Vm : Vms.m_Carriers) {
+      Known += Vms.m_Views[Vm].peerActiveRequests(Vms.m_Now).size();
+      Asked += Vms.m_Carriers.size() - 1;
+    }
+  }
+  BOOST_TEST(Known > Asked / 2);
+}
+
 BOOST_AUTO_TEST_CASE(ReportedAgesExtendOnlyAnIncarnationHeardDirectly) {
   Fleet Self(vm("a", "r"), {});
   for (int I = 0; I < 30; ++I)
