VMs that don't know their peers yet use no part of a fleet-wide limit

What callers and operators would see: after a restart of all VMs, cold upstreams that get five times the requests they can warm up with, and retries far beyond the fleet's budget.

Cause: a VM divides the slack of the retry budget by the VMs it knows, and ranks itself among them for the right to send to a cold upstream. The tables of upstreams and of VMs are read independently; until the second is read, each VM takes itself for the whole fleet. Evidence: 30 VMs that know no peers, on the commit before: 30 send to one cold upstream (6 allowed), 750 retries (50 allowed).

Change: the fleet is complete once the rows of all VMs have been read, from the store or through a peer that has read them (log line fleet-complete). Until then its fraction of a limit is 0, and it sends nothing to cold upstreams. Retries by the ratio are not affected, as they count the VM's own requests.

VmsThatKnowNoPeersYetStayWithinFleetWideLimits fails without the change; FleetIsCompleteOnceTheRowsOfAllVmsWereRead has the peer that has not read the table.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -195,7 +195,7 @@
       remaining() < MinRetryTime)
     return false;
   return m_State.m_RetryBudgets[m_TargetService].takeRetry(
-      steadyNow(), m_State.m_Fleet.knownCount(), m_State.m_Settings.m_Retry);
+      steadyNow(), m_State.m_Fleet.limitFraction(), m_State.m_Settings.m_Retry);
 }
 
 awaitable<bool> Exchange::giveUp(AttemptResult Last, Duration RetryAfter,
--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -153,14 +153,13 @@
   noteStoreResult(Result, "read " + Table);
   if (Result.m_CallStatus != StoreCallStatus::Done)
     co_return false;
-  RowCache &Cache = m_RowCaches[Table];
   for (StoreRow &Row : Result.m_Rows) {
     Row.m_Table = Table;
     putRow(Row, storeJustReturned());
   }
   removeMissing(Table, Result.m_Rows, Result.m_Version);
   finishBatch("read " + Table);
-  Cache.recordFullRead(Result.m_Version);
+  recordFullRead(Table, Result.m_Version, "store");
   std::uint64_t &FeedVersion = m_FeedVersions[Table];
   FeedVersion = std::max(FeedVersion, Result.m_Version);
   m_FullReadDone.notify();
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -101,6 +101,10 @@
   void removeUpstream(const std::string &Id);
   /// \brief Logs a change of one upstream, up to a number of lines per batch.
   void logUpstreamChange(std::initializer_list<LogField> Fields);
+  /// \brief Records that every row of a table as of \p Version has been
+  /// applied; 0 if a peer relayed it without having read it.
+  void recordFullRead(const std::string &Table, std::uint64_t Version,
+                      std::string_view Source);
   /// \brief Ends the rows of one answer from \p Source: logs how many changes
   /// were not listed.
   void finishBatch(std::string_view Source);
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -31,6 +31,19 @@
   m_BatchUpstreamLines = 0;
 }
 
+void StoreReplica::recordFullRead(const std::string &Table,
+                                  std::uint64_t Version,
+                                  std::string_view Source) {
+  m_RowCaches[Table].recordFullRead(Version);
+  if (Table != m_State.m_Decoder.m_Tables.m_Vms || Version == 0 ||
+      m_State.m_Fleet.isComplete())
+    return;
+  m_State.m_Fleet.setComplete();
+  logEvent(LogLevel::Info, "fleet-complete",
+           {{"vms", std::to_string(m_State.m_Fleet.knownCount())},
+            {"source", std::string(Source)}});
+}
+
 void StoreReplica::removeMissing(const std::string &Table,
                                  const std::vector<StoreRow> &Rows,
                                  std::uint64_t Version) {
@@ -246,12 +259,11 @@
   }
   for (std::size_t I = 0; I < Names.size() && I < Rows.m_SyncedVersions.size();
        ++I) {
-    RowCache &Cache = m_RowCaches[Names[I]];
     if (Rows.m_IsFullRead) {
       removeMissing(Names[I], ByTable[Names[I]], Rows.m_SyncedVersions[I]);
-      Cache.recordFullRead(Rows.m_SyncedVersions[I]);
+      recordFullRead(Names[I], Rows.m_SyncedVersions[I], "peer");
     }
-    Cache.advanceSyncedVersion(Rows.m_SyncedVersions[I]);
+    m_RowCaches[Names[I]].advanceSyncedVersion(Rows.m_SyncedVersions[I]);
   }
   finishBatch("peer");
 }
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -232,6 +232,8 @@
 }
 
 bool Fleet::maySendCold(std::uint64_t UpstreamHash, unsigned Senders) const {
+  if (!m_IsComplete)
+    return false;
   auto RankOf = [UpstreamHash](const VmName &Vm) {
     return stableHash(Vm.str(), UpstreamHash);
   };
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -170,13 +170,23 @@
   /// \brief All known VMs except this one.
   [[nodiscard]] std::vector<EntryVm> peers() const;
   [[nodiscard]] bool isAlive(const VmName &Vm, TimePoint Now) const;
-  /// \brief Number of known VMs, including this one. Fleet-wide limits are
-  /// divided by it, as a VM that isn't heard from may still serve requests.
+  /// \brief Number of known VMs, including this one.
   [[nodiscard]] unsigned knownCount() const noexcept {
     return unsigned(m_Peers.size()) + 1;
   }
+  /// \brief Records that the rows of all VMs have been read, here or by a peer
+  /// that relayed them.
+  void setComplete() noexcept { m_IsComplete = true; }
+  [[nodiscard]] bool isComplete() const noexcept { return m_IsComplete; }
+  /// \brief Fraction of a fleet-wide limit that this VM may use: an equal part
+  /// for each known VM, as one that isn't heard from may still serve requests;
+  /// none until the fleet is complete.
+  [[nodiscard]] double limitFraction() const noexcept {
+    return m_IsComplete ? 1.0 / knownCount() : 0;
+  }
   /// \brief Whether this VM is one of the \p Senders that may send to a cold
-  /// upstream.
+  /// upstream. False until the fleet is complete: each VM would count itself
+  /// among the few.
   [[nodiscard]] bool maySendCold(std::uint64_t UpstreamHash,
                                  unsigned Senders) const;
 
@@ -238,6 +248,7 @@
 
   FleetTuning m_Tuning;
   std::map<VmName, Peer> m_Peers; ///< Never contains this VM.
+  bool m_IsComplete = false;      ///< See setComplete(); never reset.
   /// Points into m_Peers, whose nodes don't move; by PeerAge::m_VmHash.
   std::map<std::uint32_t, Peer *> m_ByHash;
   /// By PeerAge::m_VmHash; never contains this VM. Knowledge of a reader needs
--- a/src/steer/retry_budget.cpp
+++ b/src/steer/retry_budget.cpp
@@ -2,8 +2,6 @@
 /// Sliding-window accounting of retries.
 #include "steer/retry_budget.h"
 
-#include <algorithm>
-
 namespace mustardspoke::steer {
 
 RetryBudget::Slot &RetryBudget::slot(TimePoint Now) {
@@ -14,7 +12,7 @@
   return Current;
 }
 
-bool RetryBudget::takeRetry(TimePoint Now, unsigned Vms,
+bool RetryBudget::takeRetry(TimePoint Now, double SlackFraction,
                             const RetryBudgetTuning &Tuning) {
   m_SlotLength = Tuning.m_Window / SlotCount;
   Slot &Current = slot(Now);
@@ -27,7 +25,7 @@
     }
   double Allowed =
       Tuning.m_UsableFraction *
-      (Tuning.m_Ratio * double(Requests) + Tuning.m_Slack / std::max(1U, Vms));
+      (Tuning.m_Ratio * double(Requests) + Tuning.m_Slack * SlackFraction);
   if (double(Retries + 1) > Allowed)
     return false;
   ++Current.m_Retries;
--- a/src/steer/retry_budget.h
+++ b/src/steer/retry_budget.h
@@ -26,8 +26,9 @@
   void recordRequest(TimePoint Now) { ++slot(Now).m_Requests; }
 
   /// \brief Consumes one retry if the budget allows it.
-  /// \param Vms Number of entry VMs that share the fleet's slack.
-  [[nodiscard]] bool takeRetry(TimePoint Now, unsigned Vms,
+  /// \param SlackFraction Fraction of the fleet's slack that this VM may use,
+  /// 0 to 1.
+  [[nodiscard]] bool takeRetry(TimePoint Now, double SlackFraction,
                                const RetryBudgetTuning &Tuning);
 
 private:
--- a/tests/unit/fleet_members_test.cpp
+++ b/tests/unit/fleet_members_test.cpp
@@ -123,11 +123,31 @@
     for (int Other = 0; Other < 30; ++Other)
       (void)Self.receivedHeartbeat(vm("vm" + std::to_string(Other), "r"),
                                    Start);
+    Self.setComplete();
     Senders += Self.maySendCold(12345, 6) ? 1 : 0;
   }
   BOOST_TEST(Senders == 6);
 }
 
+// Guards against VMs that have just started and know no peers yet: each took
+// itself for the whole fleet and used all of every fleet-wide limit.
+BOOST_AUTO_TEST_CASE(VmsThatKnowNoPeersYetStayWithinFleetWideLimits) {
+  constexpr unsigned Vms = 30;
+  RetryBudgetTuning Tuning;
+  Tuning.m_Ratio = 0;
+  unsigned Senders = 0;
+  unsigned Retries = 0;
+  for (unsigned Index = 0; Index < Vms; ++Index) {
+    Fleet Self(vm("vm" + std::to_string(Index), "r"), {});
+    Senders += Self.maySendCold(12345, 6) ? 1 : 0;
+    RetryBudget Budget;
+    while (Budget.takeRetry(Start, Self.limitFraction(), Tuning))
+      ++Retries;
+  }
+  BOOST_TEST(Senders <= 6);
+  BOOST_TEST(Retries <= Tuning.m_Slack);
+}
+
 BOOST_AUTO_TEST_CASE(OutdatedPeerLoadIsNotCounted) {
   Fleet Self(vm("a", "r"), {});
   (void)Self.receivedHeartbeat(vm("b", "r"), Start);
--- a/tests/unit/route_table_test.cpp
+++ b/tests/unit/route_table_test.cpp
@@ -18,7 +18,7 @@
     for (RetryBudget &Budget : Budgets) {
       Budget.recordRequest(Start + Ms * 1ms);
       ++Requests;
-      Retries += Budget.takeRetry(Start + Ms * 1ms, Vms, Tuning) ? 1 : 0;
+      Retries += Budget.takeRetry(Start + Ms * 1ms, 1.0 / Vms, Tuning) ? 1 : 0;
     }
   BOOST_TEST(double(Retries) <= Tuning.m_Ratio * Requests + Tuning.m_Slack);
   BOOST_TEST(Retries > 0);
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -250,6 +250,29 @@
   BOOST_TEST(State.m_Upstreams.find("u") == nullptr);
 }
 
+// A VM that doesn't know all others may use no part of a fleet-wide limit.
+BOOST_AUTO_TEST_CASE(FleetIsCompleteOnceTheRowsOfAllVmsWereRead) {
+  asio::io_context Io;
+  WireFormat Format{};
+  FakeStore Store;
+  GatewayState State(
+      Io, GatewaySettings(), Format,
+      {decodeAnyEvacuation, decodeAnyUpstream, {"op", "up", "vm"}});
+  UpstreamPool Pool(Io);
+  StoreReplica Replica(State, Pool, Store);
+  RelayedRows Rows;
+  Rows.m_IsFullRead = true;
+  // The peer has not read the table of VMs.
+  Rows.m_SyncedVersions = {20, 20, 0};
+  Replica.applyRelayedRows(Rows);
+  BOOST_TEST(!State.m_Fleet.isComplete());
+  Rows.m_SyncedVersions = {20, 20, 20};
+  Replica.applyRelayedRows(Rows);
+  BOOST_TEST(State.m_Fleet.isComplete());
+  ReplicaRig ReadsTheStore;
+  BOOST_TEST(ReadsTheStore.m_State.m_Fleet.isComplete());
+}
+
 // Control: in the same era it is removed at once.
 BOOST_AUTO_TEST_CASE(MissingRegistrationOfTheSameEraIsRemovedAtOnce) {
   ReplicaRig R;
