An upstream whose removal is in doubt gets no requests

Cause: a failure domain was cut off and came back; its VM, the first reader of the region, had lost the store, so it took the removal of the upstream for a registration that had expired in an outage of the store, and kept using the upstream for 2.2 s, in case it returned. It relayed the removal as tentative, so VMs that had never lost the store did the same. Another reader knew that the removal was final.

Change: an upstream whose removal is in doubt is excluded from the choice like an ejected one: it gets nothing, unless more than 0.3 of the candidates are excluded, which is what an outage of the store looks like. The flag of the upstream replaces the replica's set of tentative removals. Log lines in-doubt and returned.

Weighed: relaying a final removal over a tentative one (versions sent to peers would have to be held back), and readers that stay until others have settled (a flag in heartbeats and reader ages). Both need messages; neither helps if all readers were cut off.

--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -12,7 +12,6 @@
 #include "steer/row_cache.h"
 
 #include <map>
-#include <set>
 
 namespace mustardspoke::steer {
 
@@ -98,6 +97,8 @@
   void applyEvacuations();
   void applyUpstreamRow(const StoreRow &Row, bool Tentative);
   void applyVmRow(const StoreRow &Row);
+  /// \brief Whether the row's upstream has a delayed removal.
+  [[nodiscard]] bool isInDoubt(const StoreRow &Row) const;
   void removeUpstream(const std::string &Id);
   /// \brief Logs a change of one upstream, up to a number of lines per batch.
   void logUpstreamChange(std::initializer_list<LogField> Fields);
@@ -117,8 +118,6 @@
   UpstreamPool &m_Pool;
   RowStore &m_Store;
   std::map<std::string, RowCache> m_RowCaches;
-  /// Upstreams with a delayed removal.
-  std::set<std::string> m_TentativeRemovals;
   /// 0: needs a full read first.
   std::map<std::string, std::uint64_t> m_FeedVersions;
   Notifier m_FullReadDone; ///< Notified after a full read of a table.
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -5,6 +5,7 @@
 #include "observe/log.h"
 
 #include <algorithm>
+#include <set>
 
 namespace mustardspoke::steer {
 namespace {
@@ -119,7 +120,8 @@
   if (Row.m_Removed) {
     UpstreamPtr Known = m_State.m_Upstreams.find(Row.m_Key);
     if (Known && Known->isUsable() && Tentative) {
-      m_TentativeRemovals.insert(Row.m_Key);
+      Known->m_RemovalInDoubt = true;
+      logUpstreamChange({{"upstream", Row.m_Key}, {"change", "in-doubt"}});
       asio::co_spawn(
           m_State.m_Io,
           [this, Id = Row.m_Key, Version = Row.m_Version]() {
@@ -139,6 +141,8 @@
     removeUpstream(Row.m_Key);
     return;
   }
+  if (isInDoubt(Row))
+    logUpstreamChange({{"upstream", Row.m_Key}, {"change", "returned"}});
   auto Change = m_State.m_Upstreams.put(*Decoded.m_Facts, steadyNow());
   if (!Change)
     return;
@@ -157,6 +161,13 @@
        {"row", formatPosition(Row.m_Version)}});
 }
 
+bool StoreReplica::isInDoubt(const StoreRow &Row) const {
+  if (Row.m_Table != m_State.m_Decoder.m_Tables.m_Upstreams)
+    return false;
+  UpstreamPtr Known = m_State.m_Upstreams.find(Row.m_Key);
+  return Known && Known->m_RemovalInDoubt;
+}
+
 void StoreReplica::removeUpstream(const std::string &Id) {
   auto Change = m_State.m_Upstreams.remove(Id);
   if (!Change)
@@ -168,7 +179,6 @@
 awaitable<void> StoreReplica::removeUpstreamLater(std::string Id,
                                                   std::uint64_t Version) {
   co_await sleepFor(m_State.m_Io, ReregistrationTime);
-  m_TentativeRemovals.erase(Id);
   const auto &Rows = m_RowCaches[m_State.m_Decoder.m_Tables.m_Upstreams].rows();
   auto Found = Rows.find(Id);
   if (Found != Rows.end() && Found->second.m_Removed &&
@@ -233,10 +243,8 @@
       continue;
     for (const auto &[Key, Row] : Found->second.rows())
       // A tentative removal must not be relayed as a final one.
-      if (SendAll ? !Row.m_Removed || m_TentativeRemovals.contains(Key)
-                  : Row.m_Version > After[I])
-        Result.m_Rows.push_back(
-            {Row, Row.m_Removed && m_TentativeRemovals.contains(Key)});
+      if (SendAll ? !Row.m_Removed || isInDoubt(Row) : Row.m_Version > After[I])
+        Result.m_Rows.push_back({Row, Row.m_Removed && isInDoubt(Row)});
   }
   Result.m_IsFullRead = SendAll;
   Result.m_SyncedVersions = syncedVersions();
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -17,7 +17,8 @@
   std::uint64_t m_Rank = 0; ///< Rendezvous weight; the highest goes first.
   /// Slow or cold: used only if no other candidate has capacity.
   bool m_IsLastResort = false;
-  bool m_IsEjected = false; ///< Failed recently: not used.
+  /// Failed recently, or its removal is in doubt: not used.
+  bool m_IsExcluded = false;
 };
 
 /// \brief Mixes the bits of a hash; the finalizer of MurmurHash3.
@@ -142,7 +143,7 @@
   bool LargeAnswer = Input.m_MeanAnswerBytes > Tuning.m_LargeAnswerBytes;
   bool ServeLocally = servedLocally(Input);
   std::vector<Candidate> Result;
-  std::size_t Ejected = 0;
+  std::size_t Excluded = 0;
   for (const UpstreamPtr &Entry : All) {
     if (!Table.isUsable(*Entry) || Entry->isQuiet(Input.m_Now) ||
         wasTried(*Entry, Input.m_Tried) ||
@@ -154,14 +155,17 @@
     Next.m_Rank = mix(Input.m_KeyHash ^ Entry->m_IdHash);
     Next.m_IsLastResort = Entry->isCold(Input.m_Now) ||
                           isSlow(*Entry, Median, Tuning.m_HealthTuning);
-    Next.m_IsEjected = Entry->isEjected(Input.m_Now);
-    Ejected += Next.m_IsEjected ? 1 : 0;
+    Next.m_IsExcluded =
+        Entry->isEjected(Input.m_Now) || Entry->m_RemovalInDoubt;
+    Excluded += Next.m_IsExcluded ? 1 : 0;
     Result.push_back(Next);
   }
-  // If many upstreams fail, excluding all of them would overload the others.
-  if (double(Ejected) > double(Result.size()) * Tuning.m_MaxEjectedFraction)
+  // If many upstreams fail, excluding all of them would overload the others. If
+  // many registrations are gone at once, they have expired during an outage of
+  // the store.
+  if (double(Excluded) > double(Result.size()) * Tuning.m_MaxExcludedFraction)
     for (Candidate &Each : Result)
-      Each.m_IsEjected = false;
+      Each.m_IsExcluded = false;
   return Result;
 }
 
@@ -172,9 +176,9 @@
   return Left.m_Rank > Right.m_Rank;
 }
 
-/// \brief Neither slow, cold nor ejected.
+/// \brief Neither slow, cold nor excluded.
 bool isHealthy(const Candidate &Entry) {
-  return !Entry.m_IsLastResort && !Entry.m_IsEjected;
+  return !Entry.m_IsLastResort && !Entry.m_IsExcluded;
 }
 
 Choice select(const Candidate &Selected, const ChoiceInput &Input,
@@ -225,7 +229,7 @@
       return select(NonHolder, Input, Tuning);
   std::sort(Unhealthy, Candidates.end(), isPreferred);
   for (const Candidate &LastResort : std::span(Unhealthy, Candidates.end()))
-    if (!LastResort.m_IsEjected &&
+    if (!LastResort.m_IsExcluded &&
         hasFreeSlot(*LastResort.m_Upstream, Input, Tuning) &&
         takeColdToken(*LastResort.m_Upstream, Input, Tuning))
       return select(LastResort, Input, Tuning);
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -84,6 +84,9 @@
   bool m_IsRegistered = true; ///< False once the registration is removed.
   /// Announced in an answer; reset only when a new incarnation registers.
   bool m_AnnouncedLeaving = false;
+  /// Its registration is gone, but may only have expired while the store was
+  /// unreachable. It gets no requests unless many upstreams are in doubt.
+  bool m_RemovalInDoubt = false;
   TimePoint m_ColdUntil{}; ///< End of its warm-up.
   /// Until then it wants no requests from this VM.
   TimePoint m_QuietUntil{};
--- a/src/steer/upstream_table.cpp
+++ b/src/steer/upstream_table.cpp
@@ -48,6 +48,7 @@
     return UpstreamChange{Kind::Added, Added};
   }
   UpstreamPtr Known = Found->second;
+  Known->m_RemovalInDoubt = false;
   if (Known->m_Registration == Registration) {
     Known->m_Registration.m_Sequence = Registration.m_Sequence;
     return std::nullopt;
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -174,6 +174,46 @@
   BOOST_TEST(!R.known());
 }
 
+// Guards against requests to an upstream that left over two seconds ago: a
+// reader that had just been cut off took the removal for a registration that
+// expired in an outage of the store, and so did the VMs that it relayed it to.
+BOOST_AUTO_TEST_CASE(UpstreamWhoseRemovalIsTentativeGetsNoRequests) {
+  constexpr int Upstreams = 10;
+  ReplicaRig R;
+  auto Relay = [&R](int Upstream, bool Removed, std::uint64_t Version) {
+    RelayedRows Rows;
+    Rows.m_Rows = {
+        {{"up", std::to_string(Upstream), "", Version, Removed}, Removed}};
+    R.m_Replica.applyRelayedRows(Rows);
+  };
+  auto RequestsTo = [&R](const std::string &Id) {
+    Route Path;
+    ChoiceInput Input{Path, nullptr, ServiceName("s")};
+    Input.m_Now = steadyNow();
+    Input.m_TimeToTarget = 1s;
+    int Requests = 0;
+    for (Input.m_KeyHash = 0; Input.m_KeyHash < 200; ++Input.m_KeyHash) {
+      Choice Selected =
+          chooseByKeyLocalFirst(Input, R.m_State.m_Upstreams, {}, {});
+      BOOST_REQUIRE(Selected.m_Upstream);
+      Requests += Selected.m_Upstream->m_Registration.m_Id == Id ? 1 : 0;
+    }
+    return Requests;
+  };
+  for (int I = 0; I < Upstreams; ++I)
+    Relay(I, false, 10);
+  BOOST_TEST(RequestsTo("0") > 0);
+  Relay(0, true, 11);
+  BOOST_TEST(RequestsTo("0") == 0);
+  // It was written again.
+  Relay(0, false, 12);
+  BOOST_TEST(RequestsTo("0") > 0);
+  // Many at once have expired during an outage of the store.
+  for (int I = 0; I < Upstreams; ++I)
+    Relay(I, true, 13);
+  BOOST_TEST(RequestsTo("0") > 0);
+}
+
 BOOST_AUTO_TEST_CASE(TentativeRemovalWaitsForTheRowToReturn) {
   ReplicaRig R;
   R.relayRow(false, false, 10);
