Preparation of the frozen VM tests waits for a share that returns slowly

Cause: with leases of one second, a busy machine lets VM 1's surplus lapse between two steps of the preparation; the calls beyond its floor are then refused, as they must be, and the surplus returns over several bursts of up to four seconds each (served of eight: 3, 3, 4, 5, 7, then 8 at 22 s). The preparation gave up after 20 s, no bound of the users. Ruled out: slow tickets (12 to 47 ms for eight).

The three waits of the preparation now last up to 60 s. The check itself, no call beyond the slots, is as before, and so is its control.

--- a/tests/processes/fault_test.cpp
+++ b/tests/processes/fault_test.cpp
@@ -30,6 +30,8 @@
     "\"shortLeaseMs\":1000,\"renewEveryMs\":300,\"scanEveryMs\":200,"
     "\"storeReplyMs\":300,\"lapseMarginMs\":100,\"floorPercent\":25";
 
+constexpr auto PreparationTimeout = 60s;
+
 /// Suspends VM 0 until VM 1 has taken over its surplus, then resumes it while
 /// it can't reach the store.
 /// \returns Number of calls that the upstream received while all its slots were
@@ -66,29 +68,39 @@
     return Units;
   };
   // Demand moves the surplus to VM 0, which is then suspended.
-  BOOST_REQUIRE(eventually([&] {
-    Burst(0, "warm-");
-    return Usable(0) >= 6;
-  }));
+  BOOST_REQUIRE(eventually(
+      [&] {
+        Burst(0, "warm-");
+        return Usable(0) >= 6;
+      },
+      PreparationTimeout));
   std::vector<std::string> Tickets;
   for (int I = 0; I < 8; ++I)
     Tickets.push_back(Cluster.ticketOwnedBy(0));
   Cluster.process(0).signal(SIGSTOP);
   Cluster.setProxyMode("0", "freeze");
-  BOOST_REQUIRE(eventually([&] {
-    Burst(1, "take-");
-    return Usable(1) >= 6;
-  }));
-  // VM 1 uses its whole share; VM 0 resumes and receives as many calls.
+  BOOST_REQUIRE(eventually(
+      [&] {
+        Burst(1, "take-");
+        return Usable(1) >= 6;
+      },
+      PreparationTimeout));
+  // VM 1 uses its whole share; VM 0 resumes and receives as many calls. On a
+  // busy machine, leases of one second lapse meanwhile, and the surplus returns
+  // over several bursts of up to four seconds.
   std::future<void> Busy;
-  BOOST_REQUIRE(eventually([&] {
-    if (Busy.valid())
-      Busy.wait();
-    Busy = inBackground([&] { Burst(1, "full-"); });
-    return eventually(
-        [&] { return Cluster.upstreamLog("orders").integerOr("busy", 0) >= 6; },
-        1s);
-  }));
+  BOOST_REQUIRE(eventually(
+      [&] {
+        if (Busy.valid())
+          Busy.wait();
+        Busy = inBackground([&] { Burst(1, "full-"); });
+        return eventually(
+            [&] {
+              return Cluster.upstreamLog("orders").integerOr("busy", 0) >= 6;
+            },
+            1s);
+      },
+      PreparationTimeout));
   std::int64_t Before = Cluster.upstreamLog("orders").integerOr("overloads", 0);
   std::vector<std::future<CallerResult>> LateCalls;
   for (int I = 0; I < 8; ++I)
