--- a/tests/unit/local_share_test.cpp
+++ b/tests/unit/local_share_test.cpp
@@ -93,7 +93,7 @@
 BOOST_AUTO_TEST_CASE(ColdStartOfASmallRegionOverflowsFewRequests) {
   LocalShareTuning Tuning;
   // A region may move 0.15 of its requests within two seconds; ten steps of the
-  // share use 0.11 of it.
+  // share use 0.08 of it.
   BOOST_TEST(overflowCount(Tuning) <= 40U);
   BOOST_TEST(overflowCount(Tuning) > 0U);
   // Control: without a limit almost all requests overflow.
