--- a/tests/soak/link_proxy.cpp
+++ b/tests/soak/link_proxy.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
 namespace mustardspoke::soak {
 
 using namespace steer;
@@ -77,6 +79,14 @@
     co_await steer::sleepFor(m_Io, PollInterval);
 }
 
+bool LinkProxy::wasAborted(Tcp::socket &Socket) {
+  int Error = 0;
+  socklen_t Size = sizeof Error;
+  return ::getsockopt(Socket.native_handle(), SOL_SOCKET, SO_ERROR, &Error,
+                      &Size) != 0 ||
+         Error != 0;
+}
+
 awaitable<void> LinkProxy::forward(ConnectionPairPtr Connection,
                                    bool ToCaller) {
   Tcp::socket &From =
@@ -89,6 +99,8 @@
     std::size_t Got =
         co_await From.async_read_some(asio::buffer(Chunk), noThrow(Error));
     co_await waitWhileStalled(*Connection, ToCaller);
+    if (wasAborted(From))
+      break;
     if (m_Mode == LinkMode::Delay)
       co_await steer::sleepFor(m_Io, ChunkDelay);
     NetError Lost;
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -23,7 +23,8 @@
 /// \brief Forwards connections from one address to another.
 ///
 /// \details Data that was held back is forwarded once the disturbance ends, as
-/// TCP would do by retransmissions.
+/// TCP would do by retransmissions, unless the sender has aborted the
+/// connection by then.
 class LinkProxy {
 public:
   LinkProxy(steer::asio::io_context &Io, const std::string &Listen,
@@ -44,6 +45,7 @@
   /// \brief Waits while data in this direction is held back.
   steer::awaitable<void> waitWhileStalled(const ConnectionPair &Connection,
                                           bool ToCaller);
+  [[nodiscard]] static bool wasAborted(steer::Tcp::socket &Socket);
   static void reset(steer::Tcp::socket &Socket);
 
   steer::asio::io_context &m_Io;
--- a/tests/unit/choice_test.cpp
+++ b/tests/unit/choice_test.cpp
@@ -193,6 +193,38 @@
   BOOST_TEST(Delays.size() > 15U); // Callers return spread out.
 }
 
+/// \brief How many of 400 keys go to the upstream \p Id.
+int keysSentTo(const std::string &Id, TwoRegions &System,
+               const Placement &Local) {
+  int Sent = 0;
+  for (int Key = 0; Key < 400; ++Key) {
+    Choice Next = System.choose(Key, Local);
+    Sent += Next.m_Upstream && Next.m_Upstream->m_Registration.m_Id == Id;
+  }
+  return Sent;
+}
+
+// Guards against requests to an upstream that had left: with some others of its
+// service ejected, its removal in doubt was ignored.
+BOOST_AUTO_TEST_CASE(UpstreamInDoubtGetsNothingBesideEjectedOnes) {
+  TwoRegions System;
+  System.m_Table.find("l0")->m_RemovalInDoubt = true;
+  for (const char *Id : {"l1", "l2", "l3"})
+    for (int I = 0; I < 2; ++I)
+      (void)System.m_Table.find(Id)->recordFailure(
+          Start, System.m_Tuning.m_HealthTuning);
+  BOOST_TEST(keysSentTo("l0", System, Large) == 0);
+}
+
+// Guards against requests to an upstream that had left, of a route whose
+// regions have so few upstreams that one in doubt is a large part of them.
+BOOST_AUTO_TEST_CASE(UpstreamInDoubtGetsNothingInARegionOfTwo) {
+  TwoRegions System;
+  System.m_Table.find("s0")->m_RemovalInDoubt = true;
+  System.m_Route.m_AllowedRegions = {Small.m_Region};
+  BOOST_TEST(keysSentTo("s0", System, Small) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace mustardspoke::steer
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
+#include "soak/link_proxy.h"
 #include "support/exchange_rig.h"
 
 #include <sys/resource.h>
@@ -18,9 +19,9 @@
   return "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n" +
          ExtraFields + "\r\n";
 }
-std::string post(const std::string &Id) {
-  return "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id +
-         "\r\nContent-Length: 2\r\n\r\nhi";
+std::string post(const std::string &Id, const std::string &ExtraFields = "") {
+  return "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n" +
+         ExtraFields + "Content-Length: 2\r\n\r\nhi";
 }
 
 /// \brief Answers every request with the request's identifier as body.
@@ -33,6 +34,48 @@
   }
 }
 
+/// \brief An upstream that notes the requests that reach it, behind a link that
+/// can be cut.
+class UpstreamBehindALink {
+public:
+  explicit UpstreamBehindALink(ExchangeRig &Rig) : m_Rig(Rig) {
+    Rig.upstream("u", [this](ServerSide &Side) -> awaitable<void> {
+      for (;;) {
+        std::string Id = co_await Side.readRequest();
+        if (Id.empty())
+          co_return;
+        m_Arrived.push_back(Id);
+        co_await Side.respond(Id, Id);
+      }
+    });
+    UpstreamRegistration Facts =
+        Rig.m_State.m_Upstreams.find("u")->m_Registration;
+    std::string Listen = unusedAddress();
+    m_Link.emplace(Rig.m_Io, Listen, Facts.m_Address);
+    Facts.m_Address = Listen;
+    BOOST_REQUIRE(Rig.m_State.m_Upstreams.put(Facts, steadyNow()).has_value());
+  }
+  void cut() { m_Link->setMode(soak::LinkMode::StallRequests); }
+  /// \brief Ends the cut, and waits until what it held back has arrived.
+  void restore() {
+    m_Link->setMode(soak::LinkMode::Pass);
+    m_Rig.m_Io.run_for(std::chrono::milliseconds(100));
+  }
+  [[nodiscard]] bool hasReceived(std::string_view Id) const {
+    return std::find(m_Arrived.begin(), m_Arrived.end(), Id) != m_Arrived.end();
+  }
+
+private:
+  std::string unusedAddress() {
+    Tcp::acceptor Probe(m_Rig.m_Io, {asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(Probe.local_endpoint().port());
+  }
+
+  ExchangeRig &m_Rig;
+  std::optional<soak::LinkProxy> m_Link;
+  std::vector<std::string> m_Arrived;
+};
+
 /// \brief Takes all descriptors that the process may still open.
 class DescriptorHog {
 public:
@@ -390,4 +433,26 @@
   BOOST_TEST(Responses[1].m_Head.m_Status == 503U);
 }
 
+// Guards against requests that reached an upstream seconds after their callers
+// had been answered: the VM had given them up while its link was cut, and the
+// system delivered what had been written once the link was back.
+BOOST_AUTO_TEST_CASE(RequestGivenUpDuringACutDoesNotArriveAfterIt) {
+  ExchangeRig R;
+  UpstreamBehindALink Upstream(R);
+  BOOST_TEST(R.ask(get("before")).m_Head.m_Status == 200U);
+  Upstream.cut();
+  for (const std::string &Text : {get("safe", "X-Deadline-Ms: 150\r\n"),
+                                  post("unsafe", "X-Deadline-Ms: 150\r\n")})
+    BOOST_TEST(R.ask(Text).m_Head.m_Status == 504U);
+  std::vector<HttpResponse> Responses;
+  R.caller(get("caller-left"), 1, Responses, 100ms);
+  R.run();
+  Upstream.restore();
+  BOOST_TEST(Upstream.hasReceived("before"));
+  BOOST_TEST(!Upstream.hasReceived("safe"));
+  BOOST_TEST(!Upstream.hasReceived("unsafe"));
+  BOOST_TEST(!Upstream.hasReceived("caller-left"));
+  BOOST_TEST(R.ask(get("after")).m_Head.m_Status == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -83,6 +83,23 @@
   BOOST_TEST(System.m_Table.isUsable(*System.m_Table.find("l1")));
 }
 
+// Guards against requests to a leaving upstream: it announced its end in an
+// answer after its registration was gone, and then registered once more.
+BOOST_AUTO_TEST_CASE(AnnouncementAfterTheRemovalIsKept) {
+  TwoRegions System;
+  UpstreamPtr Known = System.m_Table.find("l0");
+  UpstreamRegistration Registration = Known->m_Registration;
+  Registration.m_Sequence = {7};
+  (void)System.m_Table.put(Registration, Start);
+  (void)System.m_Table.remove("l0");
+  Known->m_AnnouncedLeaving = true;
+  Registration.m_Sequence = {8};
+  (void)System.m_Table.put(Registration, Start);
+  UpstreamPtr Returned = System.m_Table.find("l0");
+  BOOST_REQUIRE(Returned);
+  BOOST_TEST(!Returned->isUsable());
+}
+
 BOOST_AUTO_TEST_CASE(
     UpstreamThatAnswersOthersIsEjectedOnlyForAHighFailureRate) {
   TwoRegions System;
