An attempt that has ended is aborted on the wire

What callers saw: a look-up, or an order that may run once, was answered 504 during a cut, and ran seconds later for nobody; when the upstream had left meanwhile, it also broke DRAIN.

Cause: an attempt ends by closing its connection, and a close lets the system go on sending what was written until it arrives, also after the process has ended. Class: what is over for the caller isn't over on the wire.

Why this works: a connection with an unanswered request is closed with a linger time of zero, which discards unsent and unacknowledged bytes and resets the connection. It is set at the open, so a killed process aborts too, and taken back when the request has been answered completely.

--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -144,6 +144,7 @@
   m_SentAt = steadyNow();
   NetError Error;
   UpstreamConnectionPtr Connection = m_Connection;
+  Connection->m_RequestUnanswered = true;
   co_await asio::async_write(Connection->m_Socket, asio::buffer(Bytes),
                              noThrow(Error));
   if (Error)
@@ -227,10 +228,12 @@
 }
 
 void Exchange::releaseConnection(Upstream &Target, HttpParser &Parser) {
-  bool Reusable = Parser.done() &&
-                  Parser.parseError() == HttpParseError::None &&
+  m_Connection->m_RequestUnanswered =
+      !Parser.done() || Parser.parseError() != HttpParseError::None ||
+      !*m_BodySent;
+  bool Reusable = !m_Connection->m_RequestUnanswered &&
                   Parser.head().m_KeepAlive && m_Connection->m_Input.empty() &&
-                  *m_BodySent && !m_StaleResponseSeen && !cancelled();
+                  !m_StaleResponseSeen && !cancelled();
   if (Reusable)
     m_Pool.release(Target, m_Connection, steadyNow());
   // The connection may now carry another request, which must not be cut off
--- a/src/gateway/net.cpp
+++ b/src/gateway/net.cpp
@@ -23,6 +23,11 @@
   (void)::setsockopt(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &Millis, sizeof Millis);
 }
 
+void setAbortOnClose(Tcp::socket &Socket, bool Abort) {
+  NetError Ignored; // Fails only on a connection that has ended already.
+  Socket.set_option(asio::socket_base::linger(Abort, 0), Ignored);
+}
+
 awaitable<void> sleepFor(asio::io_context &Io, Duration Span) {
   asio::steady_timer Timer(Io, Span);
   NetError Ignored;
--- a/src/gateway/net.h
+++ b/src/gateway/net.h
@@ -68,6 +68,12 @@
 void enableDeadPeerDetection(Tcp::socket &Socket,
                              Duration UnacknowledgedTimeout);
 
+/// \brief Selects what a close does to sent bytes that haven't arrived yet.
+/// \param Abort True: they are discarded and the connection is reset, also when
+/// the process ends. False, as for a new socket: the system keeps sending them
+/// after the close.
+void setAbortOnClose(Tcp::socket &Socket, bool Abort);
+
 /// \brief Suspends the coroutine for \p Span, by the event loop's clock.
 awaitable<void> sleepFor(asio::io_context &Io, Duration Span);
 
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -13,6 +13,16 @@
 
 } // namespace
 
+UpstreamConnection::~UpstreamConnection() {
+  if (!m_Socket.is_open())
+    return;
+  if (!m_RequestUnanswered)
+    setAbortOnClose(m_Socket, false);
+  // Not left to the socket's destructor, which never aborts.
+  NetError Ignored;
+  m_Socket.close(Ignored);
+}
+
 UpstreamConnectionPtr UpstreamPool::acquire(const Upstream &Target,
                                             TimePoint Now, Duration MaxIdle) {
   auto Found = m_Idle.find(&Target);
@@ -42,6 +52,7 @@
   if (Error)
     co_return nullptr;
   enableDeadPeerDetection(Connection->m_Socket, UnacknowledgedTimeout);
+  setAbortOnClose(Connection->m_Socket, true);
   CloseTimer Timer(m_Io);
   Timer.arm(Connection->m_Socket, steadyNow() + Timeout);
   TimePoint Began = steadyNow();
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -13,14 +13,23 @@
 namespace mustardspoke::steer {
 
 /// \brief One connection to an upstream.
+///
+/// Invariant: closing it while a request is unanswered aborts it, also when the
+/// process ends, so that the request doesn't arrive after its caller has been
+/// answered.
 struct UpstreamConnection
     : boost::intrusive_ref_counter<UpstreamConnection,
                                    boost::thread_unsafe_counter> {
   explicit UpstreamConnection(asio::io_context &Io) : m_Socket(Io) {}
+  ~UpstreamConnection();
+  UpstreamConnection(const UpstreamConnection &) = delete;
+  UpstreamConnection &operator=(const UpstreamConnection &) = delete;
 
   Tcp::socket m_Socket;
-  std::string m_Input;      ///< Received, not yet parsed.
-  bool m_Reused = false;    ///< Has carried a request before.
+  std::string m_Input;   ///< Received, not yet parsed.
+  bool m_Reused = false; ///< Has carried a request before.
+  /// Bytes of a request may have been sent, and the response isn't complete.
+  bool m_RequestUnanswered = false;
   Duration m_IdleTimeout{}; ///< May stay idle for this long.
   TimePoint m_IdleSince{};
 };
