Given-up calls of the store client and of entry VMs are aborted on the wire too

The client of the store and the pool of entry VMs close a connection whose answer isn't complete with a linger time of zero. StoreCallGivenUpDuringACutDoesNotArriveAfterIt fails without the change; the entry's pool follows the same rule and has no test of its own for it.

The soak checks that no request begins to run over 0.5 s after its caller was answered. In the test of an unsafe request that ran twice, the second run moves from 1 s to 0.1 s after the first, as it broke this rule as well.

--- a/src/entry/connections.cpp
+++ b/src/entry/connections.cpp
@@ -4,7 +4,20 @@
 
 #include <algorithm>
 
+#include <sys/socket.h>
+
 namespace mustardspoke {
+namespace {
+
+/// \brief Selects what a close does to sent bytes that haven't arrived yet:
+/// they are discarded and the connection is reset, also when the process ends,
+/// or the system keeps sending them.
+void setAbortOnClose(kj::AsyncIoStream &Stream, bool Abort) {
+  linger Option{Abort ? 1 : 0, 0};
+  Stream.setsockopt(SOL_SOCKET, SO_LINGER, &Option, sizeof Option);
+}
+
+} // namespace
 
 kj::Promise<kj::Own<Connection>>
 ConnectionPool::connect(const std::string &Address, bool ForceNew) {
@@ -15,6 +28,7 @@
     if (m_Timer.now() - Last->m_IdleSince > MaxIdleTime)
       continue;
     Last->m_Reused = true;
+    setAbortOnClose(*Last->m_Stream, true);
     return kj::mv(Last);
   }
   return m_Network.parseAddress(Address)
@@ -26,12 +40,14 @@
         auto Opened = kj::heap<Connection>();
         Opened->m_Address = Address;
         Opened->m_Stream = kj::mv(Stream);
+        setAbortOnClose(*Opened->m_Stream, true);
         Opened->m_Client = kj::newHttpClient(m_Table, *Opened->m_Stream);
         return Opened;
       });
 }
 
 void ConnectionPool::release(kj::Own<Connection> Conn) {
+  setAbortOnClose(*Conn->m_Stream, false);
   auto &Idle = m_Idle[Conn->m_Address];
   if (Idle.size() >= MaxIdleConnections)
     return;
--- a/src/entry/connections.h
+++ b/src/entry/connections.h
@@ -25,7 +25,8 @@
 /// \brief Opens connections and keeps idle ones for reuse for a short time.
 ///
 /// Invariant: a connection is returned to the pool only after its response was
-/// read to the end; after an error, timeout or cancellation it is closed.
+/// read to the end; after an error, timeout or cancellation it is aborted, so
+/// that its request doesn't arrive after the caller has been answered.
 class ConnectionPool {
 public:
   ConnectionPool(kj::Network &Network, kj::Timer &Timer,
--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -62,6 +62,7 @@
   }
   std::string Request = Head.finish() + Body;
   m_Timer.arm(m_Socket, steadyNow() + Timeout);
+  setAbortOnClose(m_Socket, true);
   co_await asio::async_write(m_Socket, asio::buffer(Request),
                              noThrow(Response.m_Error));
   HttpParser Parser(HttpParser::Role::Responses, MaxResponseHead,
@@ -86,6 +87,8 @@
     Response.m_Error = asio::error::make_error_code(asio::error::timed_out);
   if (!Response.m_Error && !Parser.done())
     Response.m_Error = asio::error::make_error_code(asio::error::fault);
+  if (!Response.m_Error)
+    setAbortOnClose(m_Socket, false);
   if (Response.m_Error || !Input.empty() || !Parser.head().m_KeepAlive)
     close();
   if (!Response.m_Error) {
--- a/src/gateway/http_client.h
+++ b/src/gateway/http_client.h
@@ -15,8 +15,9 @@
 
 /// \brief Keeps one connection to one server open between calls.
 ///
-/// \details One call at a time. After a call without a response the connection
-/// is closed, so that a late response isn't taken for that of the next call.
+/// \details One call at a time. A call without a response aborts the
+/// connection: its request isn't delivered later, and a late response isn't
+/// taken for that of the next call.
 class HttpClientConnection {
 public:
   HttpClientConnection(asio::io_context &Io, std::string Address,
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -64,8 +64,10 @@
       Result.push_back(Id + ": ran, but no caller sent it");
   checkEditions(Result);
   checkRetries(Limits, Result);
-  if (Limits.m_CheckTiming)
+  if (Limits.m_CheckTiming) {
     checkWithdrawals(Limits, Result);
+    checkLateRuns(Limits, Result);
+  }
   return Result;
 }
 
@@ -123,6 +125,23 @@
                    std::to_string(toMillis(Entry.m_IdleTime)) + " ms idle"));
 }
 
+void Observations::checkLateRuns(const InvariantLimits &Limits,
+                                 Messages &Violations) const {
+  for (const Attempt &Entry : m_Attempts) {
+    auto Found = m_Executions.find(Entry.m_Id);
+    if (Entry.m_Outcome != AttemptOutcome::Answered ||
+        Found == m_Executions.end())
+      continue;
+    for (const Execution &Executed : Found->second)
+      if (Executed.m_StartedAt > Entry.m_EndedAt + Limits.m_LateRunDelay)
+        Violations.push_back(
+            message(Entry, "began to run " +
+                               std::to_string(toMillis(Executed.m_StartedAt -
+                                                       Entry.m_EndedAt)) +
+                               " ms after its caller was answered"));
+  }
+}
+
 void Observations::checkEditions(Messages &Violations) const {
   // Each edition of the configuration has its own numbered service. A process
   // must never return to an older edition.
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -76,9 +76,12 @@
   /// Until a request is answered, including its route's timeout; generous, as
   /// the machine may be busy.
   Duration m_AnswerDelay = 10s;
+  /// From the answer to a request until an upstream may still begin to run it,
+  /// as it may be on its way.
+  Duration m_LateRunDelay = 500ms;
   /// After the end of a disruption until the limits hold again.
   Duration m_SettleTime = 4s;
-  /// Whether the limits of withdrawals are checked.
+  /// Whether the limits of withdrawals and of late runs are checked.
   bool m_CheckTiming = false;
   double m_RetryRatio = 0.2;
   double m_RetrySlack = 50;
@@ -109,6 +112,7 @@
   void checkConnectionLoss(const Attempt &Entry, Messages &Violations) const;
   void checkWithdrawals(const InvariantLimits &Limits,
                         Messages &Violations) const;
+  void checkLateRuns(const InvariantLimits &Limits, Messages &Violations) const;
   void checkRetries(const InvariantLimits &Limits, Messages &Violations) const;
   void checkEditions(Messages &Violations) const;
   [[nodiscard]] unsigned executionCount(const std::string &Id) const;
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -61,6 +61,9 @@
     m_Link->setMode(soak::LinkMode::Pass);
     m_Rig.m_Io.run_for(std::chrono::milliseconds(100));
   }
+  [[nodiscard]] const std::string &address() const {
+    return m_Rig.m_State.m_Upstreams.find("u")->m_Registration.m_Address;
+  }
   [[nodiscard]] bool hasReceived(std::string_view Id) const {
     return std::find(m_Arrived.begin(), m_Arrived.end(), Id) != m_Arrived.end();
   }
@@ -455,4 +458,24 @@
   BOOST_TEST(R.ask(get("after")).m_Head.m_Status == 200U);
 }
 
+// Guards against writes that reached the store seconds after the VM had given
+// them up.
+BOOST_AUTO_TEST_CASE(StoreCallGivenUpDuringACutDoesNotArriveAfterIt) {
+  ExchangeRig R;
+  UpstreamBehindALink Store(R);
+  Store.cut();
+  HttpClientConnection Connection(R.m_Io, Store.address(), 1s);
+  bool Ended = false;
+  spawn(R.m_Io, [&]() -> awaitable<void> {
+    HttpResponse Response =
+        co_await Connection.call("POST", "/write", "{}", 100ms);
+    BOOST_TEST(bool(Response.m_Error));
+    Ended = true;
+  });
+  R.m_Io.run_for(std::chrono::milliseconds(200));
+  BOOST_TEST(Ended);
+  Store.restore();
+  BOOST_TEST(!Store.hasReceived("none")); // The call bears no identifier.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/observations_test.cpp
+++ b/tests/unit/observations_test.cpp
@@ -58,7 +58,7 @@
 
 BOOST_AUTO_TEST_CASE(UnsafeRequestThatRanTwice) {
   Fixture Run;
-  Run.m_Observed.m_Executions["order"].push_back({Start + 1s, "stock", "u2"});
+  Run.m_Observed.m_Executions["order"].push_back({Start + 100ms, "stock", "u2"});
   Run.expectViolation("ran 2 times");
 }
 
@@ -68,6 +68,16 @@
   Run.expectViolation("refused as not run");
 }
 
+// Guards against requests that were given up during a cut and ran after it.
+BOOST_AUTO_TEST_CASE(RequestThatRanLongAfterItsAnswer) {
+  Fixture Run;
+  Run.order().m_Status = 504;
+  Run.m_Observed.m_Executions["order"].front().m_StartedAt = Start + 300ms;
+  Run.expectNone();
+  Run.m_Observed.m_Executions["order"].front().m_StartedAt = Start + 3s;
+  Run.expectViolation("after its caller was answered");
+}
+
 BOOST_AUTO_TEST_CASE(SuccessWithoutAnExecution) {
   Fixture Run;
   Run.m_Observed.m_Executions.erase("order");
