Removals in doubt are counted by themselves, over the whole service

What callers saw: requests were sent to upstreams that had left over 2 s before.

Cause: if more than 0.3 of the candidates of a request were excluded, all were used. Ejection (a guess) and removals in doubt were counted together, and candidates are only what a route's regions and earlier attempts leave. Class: a rule for one kind of doubt waives what another kind protects.

Why this works: one function, UpstreamTable::exclusion(), says whether a new request may go to an upstream and why not; the choice and the check before sending both use it, so a doubt or a pause that begins while a connection is opened counts too (log line attempt-withheld). Doubt is waived only if more than 0.3 of the service's registrations are in doubt. Ejection keeps its own count.

--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -250,8 +250,13 @@
   }
   // While the connection was opened, the upstream may have announced its end or
   // asked for a pause.
-  if (cancelled() || !m_State.m_Upstreams.isUsable(*Target) ||
-      Target->isQuiet(steadyNow())) {
+  Exclusion Excluded = m_State.m_Upstreams.exclusion(*Target, steadyNow());
+  if (Excluded != Exclusion::None)
+    logEvent(LogLevel::Info, "attempt-withheld",
+             {{"id", m_Metadata.m_RequestId},
+              {"upstream", Target->m_Registration.m_Id},
+              {"why", std::string(exclusionName(Excluded))}});
+  if (cancelled() || Excluded != Exclusion::None) {
     if (m_Connection->m_Reused)
       m_Pool.release(*Target, m_Connection, steadyNow());
     m_Connection.reset();
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -120,7 +120,7 @@
   if (Row.m_Removed) {
     UpstreamPtr Known = m_State.m_Upstreams.find(Row.m_Key);
     if (Known && Known->isUsable() && Tentative) {
-      Known->m_RemovalInDoubt = true;
+      m_State.m_Upstreams.setRemovalInDoubt(*Known);
       logUpstreamChange({{"upstream", Row.m_Key}, {"change", "in-doubt"}});
       asio::co_spawn(
           m_State.m_Io,
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -17,8 +17,7 @@
   std::uint64_t m_Rank = 0; ///< Rendezvous weight; the highest goes first.
   /// Slow or cold: used only if no other candidate has capacity.
   bool m_IsLastResort = false;
-  /// Failed recently, or its removal is in doubt: not used.
-  bool m_IsExcluded = false;
+  bool m_IsEjected = false; ///< Failed recently: not used.
 };
 
 /// \brief Mixes the bits of a hash; the finalizer of MurmurHash3.
@@ -143,9 +142,9 @@
   bool LargeAnswer = Input.m_MeanAnswerBytes > Tuning.m_LargeAnswerBytes;
   bool ServeLocally = servedLocally(Input);
   std::vector<Candidate> Result;
-  std::size_t Excluded = 0;
+  std::size_t Ejected = 0;
   for (const UpstreamPtr &Entry : All) {
-    if (!Table.isUsable(*Entry) || Entry->isQuiet(Input.m_Now) ||
+    if (Table.exclusion(*Entry, Input.m_Now) != Exclusion::None ||
         wasTried(*Entry, Input.m_Tried) ||
         !Input.m_Route.allows(Entry->m_Registration.m_Region))
       continue;
@@ -155,17 +154,14 @@
     Next.m_Rank = mix(Input.m_KeyHash ^ Entry->m_IdHash);
     Next.m_IsLastResort = Entry->isCold(Input.m_Now) ||
                           isSlow(*Entry, Median, Tuning.m_HealthTuning);
-    Next.m_IsExcluded =
-        Entry->isEjected(Input.m_Now) || Entry->m_RemovalInDoubt;
-    Excluded += Next.m_IsExcluded ? 1 : 0;
+    Next.m_IsEjected = Entry->isEjected(Input.m_Now);
+    Ejected += Next.m_IsEjected ? 1 : 0;
     Result.push_back(Next);
   }
-  // If many upstreams fail, excluding all of them would overload the others. If
-  // many registrations are gone at once, they have expired during an outage of
-  // the store.
-  if (double(Excluded) > double(Result.size()) * Tuning.m_MaxExcludedFraction)
+  // If many upstreams fail, excluding all of them would overload the others.
+  if (double(Ejected) > double(Result.size()) * Tuning.m_MaxEjectedFraction)
     for (Candidate &Each : Result)
-      Each.m_IsExcluded = false;
+      Each.m_IsEjected = false;
   return Result;
 }
 
@@ -176,9 +172,9 @@
   return Left.m_Rank > Right.m_Rank;
 }
 
-/// \brief Neither slow, cold nor excluded.
+/// \brief Neither slow, cold nor ejected.
 bool isHealthy(const Candidate &Entry) {
-  return !Entry.m_IsLastResort && !Entry.m_IsExcluded;
+  return !Entry.m_IsLastResort && !Entry.m_IsEjected;
 }
 
 Choice select(const Candidate &Selected, const ChoiceInput &Input,
@@ -229,7 +225,7 @@
       return select(NonHolder, Input, Tuning);
   std::sort(Unhealthy, Candidates.end(), isPreferred);
   for (const Candidate &LastResort : std::span(Unhealthy, Candidates.end()))
-    if (!LastResort.m_IsExcluded &&
+    if (!LastResort.m_IsEjected &&
         hasFreeSlot(*LastResort.m_Upstream, Input, Tuning) &&
         takeColdToken(*LastResort.m_Upstream, Input, Tuning))
       return select(LastResort, Input, Tuning);
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -29,9 +29,9 @@
   /// Load, as a fraction of its slots, up to which an upstream accepts a key
   /// that it does not hold: processing such a key costs several times as much.
   double m_NonHolderMaxLoad = 0.2;
-  /// If more than this fraction of a service's upstreams is ejected or in
-  /// doubt, they are used nevertheless.
-  double m_MaxExcludedFraction = 0.3;
+  /// If more than this fraction of the upstreams that may receive a request is
+  /// ejected, they are used nevertheless.
+  double m_MaxEjectedFraction = 0.3;
   /// Requests whose answers are larger than this prefer the caller's failure
   /// domain: the transfer costs more than a cold cache saves.
   std::uint64_t m_LargeAnswerBytes = 16384;
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -85,7 +85,7 @@
   /// Announced in an answer; reset only when a new incarnation registers.
   bool m_AnnouncedLeaving = false;
   /// Its registration is gone, but may only have expired while the store was
-  /// unreachable. It gets no requests unless many upstreams are in doubt.
+  /// unreachable. Set by UpstreamTable::setRemovalInDoubt().
   bool m_RemovalInDoubt = false;
   TimePoint m_ColdUntil{}; ///< End of its warm-up.
   /// Until then it wants no requests from this VM.
--- a/src/steer/upstream_table.cpp
+++ b/src/steer/upstream_table.cpp
@@ -3,9 +3,28 @@
 #include "steer/upstream_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mustardspoke::steer {
 
+std::string_view exclusionName(Exclusion Reason) {
+  switch (Reason) {
+  case Exclusion::None:
+    return "none";
+  case Exclusion::NotRegistered:
+    return "not-registered";
+  case Exclusion::Leaving:
+    return "leaving";
+  case Exclusion::Evacuated:
+    return "evacuated";
+  case Exclusion::Quiet:
+    return "quiet";
+  case Exclusion::InDoubt:
+    return "in-doubt";
+  }
+  return "";
+}
+
 void DepartureLog::record(const Upstream &Removed) {
   const UpstreamRegistration &Last = Removed.m_Registration;
   if (m_ById
@@ -48,7 +67,7 @@
     return UpstreamChange{Kind::Added, Added};
   }
   UpstreamPtr Known = Found->second;
-  Known->m_RemovalInDoubt = false;
+  clearDoubt(*Known);
   if (Known->m_Registration == Registration) {
     Known->m_Registration.m_Sequence = Registration.m_Sequence;
     return std::nullopt;
@@ -79,6 +98,7 @@
   if (Found == m_ById.end())
     return std::nullopt;
   UpstreamPtr Removed = Found->second;
+  clearDoubt(*Removed);
   Removed->m_IsRegistered = false;
   m_Departures.record(*Removed);
   removeFromService(Removed);
@@ -86,6 +106,35 @@
   return UpstreamChange{UpstreamChange::Kind::Removed, Removed};
 }
 
+void UpstreamTable::setRemovalInDoubt(Upstream &Target) {
+  if (!std::exchange(Target.m_RemovalInDoubt, true))
+    ++m_InDoubt[Target.m_Registration.m_Service];
+}
+
+void UpstreamTable::clearDoubt(Upstream &Target) {
+  if (std::exchange(Target.m_RemovalInDoubt, false))
+    --m_InDoubt[Target.m_Registration.m_Service];
+}
+
+Exclusion UpstreamTable::exclusion(const Upstream &Target,
+                                   TimePoint Now) const {
+  if (!Target.m_IsRegistered)
+    return Exclusion::NotRegistered;
+  if (!Target.isUsable())
+    return Exclusion::Leaving;
+  if (!isUsable(Target))
+    return Exclusion::Evacuated;
+  if (Target.isQuiet(Now))
+    return Exclusion::Quiet;
+  if (!Target.m_RemovalInDoubt)
+    return Exclusion::None;
+  const ServiceName &Service = Target.m_Registration.m_Service;
+  double InDoubt = double(m_InDoubt.at(Service));
+  double All = double(upstreamsOf(Service).size());
+  return InDoubt > All * MaxDoubtFraction ? Exclusion::None
+                                          : Exclusion::InDoubt;
+}
+
 std::vector<std::string> UpstreamTable::ids() const {
   std::vector<std::string> Result;
   for (const auto &[Id, Entry] : m_ById)
--- a/src/steer/upstream_table.h
+++ b/src/steer/upstream_table.h
@@ -49,6 +49,18 @@
   std::deque<std::string> m_Order; ///< Keys of m_ById, oldest first.
 };
 
+/// \brief Why an upstream gets no new requests.
+enum class Exclusion : std::uint8_t {
+  None,
+  NotRegistered,
+  Leaving,   ///< It announced its end, or another one has its address.
+  Evacuated, ///< Its failure domain is.
+  Quiet,     ///< It asked this VM for a pause.
+  InDoubt,   ///< It has probably left.
+};
+/// \brief Name of \p Reason in log lines.
+[[nodiscard]] std::string_view exclusionName(Exclusion Reason);
+
 /// \brief State of every registered upstream.
 class UpstreamTable {
 public:
@@ -58,6 +70,9 @@
   put(const UpstreamRegistration &Registration, TimePoint Now);
   /// \brief Removes a registration; running requests keep the object alive.
   [[nodiscard]] std::optional<UpstreamChange> remove(const std::string &Id);
+  /// \brief Notes that the registration of \p Target is gone, but may only have
+  /// expired. Its next registration or removal ends the doubt.
+  void setRemovalInDoubt(Upstream &Target);
 
   /// \brief Registered identifiers.
   [[nodiscard]] std::vector<std::string> ids() const;
@@ -87,6 +102,11 @@
     return Target.isUsable() &&
            !m_Evacuated.contains(Target.m_Registration.m_Domain);
   }
+  /// \brief Whether a new request may be sent to \p Target, for every part that
+  /// chooses upstreams or sends to them. Ejection, load and the rate of a cold
+  /// upstream are left to the choice.
+  [[nodiscard]] Exclusion exclusion(const Upstream &Target,
+                                    TimePoint Now) const;
 
   template <class Visitor> void forEach(Visitor &&Visit) const {
     for (const auto &[Id, Entry] : m_ById)
@@ -94,12 +114,19 @@
   }
 
 private:
+  /// If more than this fraction of a service's registrations is in doubt, they
+  /// have expired during an outage of the store, and their upstreams are used.
+  static constexpr double MaxDoubtFraction = 0.3;
+
+  void clearDoubt(Upstream &Target);
   void addToService(const UpstreamPtr &Entry);
   void removeFromService(const UpstreamPtr &Entry);
 
   /// Holds the same objects as m_ByService.
   std::map<std::string, UpstreamPtr, std::less<>> m_ById;
   std::map<ServiceName, std::vector<UpstreamPtr>> m_ByService;
+  /// Number of a service's upstreams with m_RemovalInDoubt.
+  std::map<ServiceName, std::size_t> m_InDoubt;
   std::map<ServiceName, Duration> m_MeanProcessingTimes;
   std::set<FailureDomainName> m_Evacuated;
   DepartureLog m_Departures;
--- a/tests/unit/choice_test.cpp
+++ b/tests/unit/choice_test.cpp
@@ -208,7 +208,7 @@
 // service ejected, its removal in doubt was ignored.
 BOOST_AUTO_TEST_CASE(UpstreamInDoubtGetsNothingBesideEjectedOnes) {
   TwoRegions System;
-  System.m_Table.find("l0")->m_RemovalInDoubt = true;
+  System.m_Table.setRemovalInDoubt(*System.m_Table.find("l0"));
   for (const char *Id : {"l1", "l2", "l3"})
     for (int I = 0; I < 2; ++I)
       (void)System.m_Table.find(Id)->recordFailure(
@@ -220,11 +220,27 @@
 // regions have so few upstreams that one in doubt is a large part of them.
 BOOST_AUTO_TEST_CASE(UpstreamInDoubtGetsNothingInARegionOfTwo) {
   TwoRegions System;
-  System.m_Table.find("s0")->m_RemovalInDoubt = true;
+  System.m_Table.setRemovalInDoubt(*System.m_Table.find("s0"));
   System.m_Route.m_AllowedRegions = {Small.m_Region};
   BOOST_TEST(keysSentTo("s0", System, Small) == 0);
 }
 
+// Registrations that expire while the store is away must not take their
+// upstreams out of service.
+BOOST_AUTO_TEST_CASE(ManyUpstreamsInDoubtAreUsed) {
+  TwoRegions System;
+  for (const char *Id : {"l0", "l1", "l2"})
+    System.m_Table.setRemovalInDoubt(*System.m_Table.find(Id));
+  BOOST_TEST(keysSentTo("l0", System, Large) == 0);
+  System.m_Table.setRemovalInDoubt(*System.m_Table.find("l3"));
+  BOOST_TEST(keysSentTo("l0", System, Large) > 0);
+  // One of them is back, so the others have probably left.
+  UpstreamRegistration Returned = System.m_Table.find("l3")->m_Registration;
+  BOOST_TEST(!System.m_Table.put(Returned, Start).has_value());
+  BOOST_TEST(keysSentTo("l0", System, Large) == 0);
+  BOOST_TEST(keysSentTo("l3", System, Large) > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace mustardspoke::steer
--- a/tests/unit/observations_test.cpp
+++ b/tests/unit/observations_test.cpp
@@ -58,7 +58,8 @@
 
 BOOST_AUTO_TEST_CASE(UnsafeRequestThatRanTwice) {
   Fixture Run;
-  Run.m_Observed.m_Executions["order"].push_back({Start + 100ms, "stock", "u2"});
+  Run.m_Observed.m_Executions["order"].push_back(
+      {Start + 100ms, "stock", "u2"});
   Run.expectViolation("ran 2 times");
 }
 
