--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -76,8 +76,8 @@
   /// Until a request is answered, including its route's timeout; generous, as
   /// the machine may be busy.
   Duration m_AnswerDelay = 10s;
-  /// From the answer to a request until an upstream may still begin to run it,
-  /// as it may be on its way.
+  /// From the answer to a request, or its caller's end, until an upstream may
+  /// still begin to run it, as it may be on its way.
   Duration m_LateRunDelay = 500ms;
   /// After the end of a disruption until the limits hold again.
   Duration m_SettleTime = 4s;
