An announced end belongs to a run of an upstream and is kept as long as it may return

What callers could see: a request to an upstream that had announced its end in an answer.

Cause: the announcement was a flag of the object; when the registration was removed, the flag was copied. An answer to a request still running set it on the old object only, and a registration that returned made the upstream usable again.

Why this works: announcements, in answers and registrations, are kept by run (identifier and start time) in the table, whatever happens to the registration. An address that belongs to another upstream now is no announcement any more, but a flag of its own that a new address resets.

--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -197,16 +197,16 @@
       *Metadata.m_WarmUpRemaining > Duration::zero())
     Target.m_ColdUntil =
         std::max(Target.m_ColdUntil, Now + *Metadata.m_WarmUpRemaining);
-  if (Metadata.m_AddressReused && !Target.m_AnnouncedLeaving) {
-    Target.m_AnnouncedLeaving = true;
+  if (Metadata.m_AddressReused && !Target.m_AddressLost) {
+    Target.m_AddressLost = true;
     m_Pool.closeIdle(Target);
     logEvent(LogLevel::Warning, "upstream-address-reused",
              {{"id", m_Metadata.m_RequestId},
               {"upstream", Target.m_Registration.m_Id},
               {"address", Target.m_Registration.m_Address}});
   }
-  if (Metadata.m_Leaving && !Target.m_AnnouncedLeaving) {
-    Target.m_AnnouncedLeaving = true;
+  if (Metadata.m_Leaving &&
+      m_State.m_Upstreams.announceLeaving(runKey(Target.m_Registration), Now)) {
     m_Pool.closeIdle(Target);
     logEvent(LogLevel::Info, "upstream-announced-leaving",
              {{"id", m_Metadata.m_RequestId},
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -169,7 +169,7 @@
 }
 
 void StoreReplica::removeUpstream(const std::string &Id) {
-  auto Change = m_State.m_Upstreams.remove(Id);
+  auto Change = m_State.m_Upstreams.remove(Id, steadyNow());
   if (!Change)
     return;
   m_Pool.closeIdle(*Change->m_Upstream);
--- a/src/steer/upstream.cpp
+++ b/src/steer/upstream.cpp
@@ -89,6 +89,7 @@
   m_EjectedUntil = {};
   m_LastEjection = Duration::zero();
   m_AnnouncedLeaving = false;
+  m_AddressLost = false;
   m_QuietUntil = {};
 }
 
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -41,6 +41,14 @@
                          const UpstreamRegistration &) = default;
 };
 
+/// \brief Names one run of an upstream, from its start to its end; equal on all
+/// VMs.
+using UpstreamRunKey = std::uint64_t;
+[[nodiscard]] inline UpstreamRunKey
+runKey(const UpstreamRegistration &Registration) {
+  return stableHash(Registration.m_Id, std::uint64_t(Registration.m_StartedMs));
+}
+
 /// \brief Load that an upstream reports in an answer.
 struct LoadReport {
   unsigned m_Running = 0;
@@ -82,8 +90,12 @@
   std::uint64_t m_IdHash = 0; ///< Hash of the identifier; equal on all VMs.
 
   bool m_IsRegistered = true; ///< False once the registration is removed.
-  /// Announced in an answer; reset only when a new incarnation registers.
+  /// It announced in an answer, here or to a peer, that it shuts down; reset
+  /// only by its next start. Set by UpstreamTable::announceLeaving().
   bool m_AnnouncedLeaving = false;
+  /// Another upstream answered at its address; reset when it registers with
+  /// another address, or by its next start.
+  bool m_AddressLost = false;
   /// Its registration is gone, but may only have expired while the store was
   /// unreachable. Set by UpstreamTable::setRemovalInDoubt().
   bool m_RemovalInDoubt = false;
@@ -145,7 +157,8 @@
   }
   /// \brief Whether it accepts new requests, regardless of ejection and load.
   [[nodiscard]] bool isUsable() const noexcept {
-    return m_IsRegistered && !m_AnnouncedLeaving && !m_Registration.m_Leaving;
+    return m_IsRegistered && !m_AnnouncedLeaving && !m_AddressLost &&
+           !m_Registration.m_Leaving;
   }
   /// \brief Mean time to an answer without queueing; zero before the first
   /// answer.
--- a/src/steer/upstream_table.cpp
+++ b/src/steer/upstream_table.cpp
@@ -25,13 +25,44 @@
   return "";
 }
 
+bool RunLog::add(UpstreamRunKey Run, TimePoint Now) {
+  if (!m_LearntAt.emplace(Run, Now).second)
+    return false;
+  m_Order.push_back(Run);
+  if (m_Order.size() > MaxEntries) {
+    m_LearntAt.erase(m_Order.front());
+    m_Order.pop_front();
+  }
+  return true;
+}
+
+void RunLog::erase(UpstreamRunKey Run) {
+  if (m_LearntAt.erase(Run) > 0)
+    std::erase(m_Order, Run);
+}
+
+bool RunLog::containsSince(UpstreamRunKey Run, TimePoint Since) const {
+  auto Found = m_LearntAt.find(Run);
+  return Found != m_LearntAt.end() && Found->second > Since;
+}
+
+std::vector<UpstreamRunKey> RunLog::newest(TimePoint Since,
+                                           std::size_t MaxRuns) const {
+  std::vector<UpstreamRunKey> Result;
+  for (auto Run = m_Order.rbegin();
+       Run != m_Order.rend() && Result.size() < MaxRuns; ++Run) {
+    if (m_LearntAt.at(*Run) <= Since)
+      break;
+    Result.push_back(*Run);
+  }
+  return Result;
+}
+
 void DepartureLog::record(const Upstream &Removed) {
   const UpstreamRegistration &Last = Removed.m_Registration;
   if (m_ById
           .insert_or_assign(
-              Last.m_Id,
-              Departure{Last.m_StartedMs, Last.m_Sequence.m_Value,
-                        Removed.m_AnnouncedLeaving || Last.m_Leaving})
+              Last.m_Id, Departure{Last.m_StartedMs, Last.m_Sequence.m_Value})
           .second)
     m_Order.push_back(Last.m_Id);
   if (m_Order.size() > MaxEntries) {
@@ -51,6 +82,11 @@
 std::optional<UpstreamChange>
 UpstreamTable::put(const UpstreamRegistration &Registration, TimePoint Now) {
   using Kind = UpstreamChange::Kind;
+  UpstreamRunKey Run = runKey(Registration);
+  // An upstream that leaves doesn't return before its next start. A
+  // registration from an older copy of the store may say otherwise.
+  if (Registration.m_Leaving)
+    announceLeaving(Run, Now);
   auto Found = m_ById.find(Registration.m_Id);
   if (Found == m_ById.end()) {
     const Departure *Earlier = m_Departures.find(Registration);
@@ -58,7 +94,8 @@
         Registration.m_Sequence.m_Value <= Earlier->m_Sequence)
       return std::nullopt; // From an older copy of the store.
     UpstreamPtr Added(new Upstream(Registration));
-    Added->m_AnnouncedLeaving = Earlier && Earlier->m_Leaving;
+    Added->m_AnnouncedLeaving = m_Announcements.contains(Run);
+    m_Removals.erase(Run);
     Added->m_IdHash = stableHash(Registration.m_Id);
     Added->m_ColdUntil = Now + Registration.m_WarmUpRemaining;
     Added->m_ColdTokensUpdatedAt = Now;
@@ -68,23 +105,25 @@
   }
   UpstreamPtr Known = Found->second;
   clearDoubt(*Known);
+  m_Removals.erase(Run);
   if (Known->m_Registration == Registration) {
     Known->m_Registration.m_Sequence = Registration.m_Sequence;
     return std::nullopt;
   }
   bool Restarted = Registration.m_StartedMs > Known->m_Registration.m_StartedMs;
   bool Leaves = Registration.m_Leaving && !Known->m_Registration.m_Leaving;
-  // An upstream that leaves doesn't return before its next start. A
-  // registration from an older copy of the store may say otherwise.
-  Known->m_AnnouncedLeaving |= Known->m_Registration.m_Leaving;
+  if (Registration.m_Address != Known->m_Registration.m_Address)
+    Known->m_AddressLost = false;
   bool Moved = Registration.m_Service != Known->m_Registration.m_Service;
   if (Moved)
     removeFromService(Known);
   Known->m_Registration = Registration;
   if (Moved)
     addToService(Known);
-  if (Restarted)
+  if (Restarted) {
     Known->resetAfterRestart();
+    Known->m_AnnouncedLeaving = m_Announcements.contains(Run);
+  }
   Known->m_ColdUntil =
       std::max(Known->m_ColdUntil, Now + Registration.m_WarmUpRemaining);
   return UpstreamChange{Leaves      ? Kind::Leaving
@@ -93,7 +132,8 @@
                         Known};
 }
 
-std::optional<UpstreamChange> UpstreamTable::remove(const std::string &Id) {
+std::optional<UpstreamChange> UpstreamTable::remove(const std::string &Id,
+                                                    TimePoint Now) {
   auto Found = m_ById.find(Id);
   if (Found == m_ById.end())
     return std::nullopt;
@@ -101,11 +141,34 @@
   clearDoubt(*Removed);
   Removed->m_IsRegistered = false;
   m_Departures.record(*Removed);
+  m_Removals.add(runKey(Removed->m_Registration), Now);
   removeFromService(Removed);
   m_ById.erase(Found);
   return UpstreamChange{UpstreamChange::Kind::Removed, Removed};
 }
 
+UpstreamPtr UpstreamTable::findRun(UpstreamRunKey Run) const {
+  for (const auto &[Id, Entry] : m_ById)
+    if (runKey(Entry->m_Registration) == Run)
+      return Entry;
+  return nullptr;
+}
+
+bool UpstreamTable::announceLeaving(UpstreamRunKey Run, TimePoint Now) {
+  if (!m_Announcements.add(Run, Now))
+    return false;
+  if (UpstreamPtr Target = findRun(Run))
+    Target->m_AnnouncedLeaving = true;
+  return true;
+}
+
+UpstreamPtr UpstreamTable::removedByPeer(UpstreamRunKey Run, TimePoint Now) {
+  if (!m_Removals.add(Run, Now))
+    return nullptr;
+  UpstreamPtr Target = findRun(Run);
+  return Target && Target->m_RemovalInDoubt ? Target : nullptr;
+}
+
 void UpstreamTable::setRemovalInDoubt(Upstream &Target) {
   if (!std::exchange(Target.m_RemovalInDoubt, true))
     ++m_InDoubt[Target.m_Registration.m_Service];
--- a/src/steer/upstream_table.h
+++ b/src/steer/upstream_table.h
@@ -26,11 +26,35 @@
   UpstreamPtr m_Upstream;
 };
 
+/// \brief Runs of upstreams about which something was learnt, and when. Keeps
+/// the newest ones.
+class RunLog {
+public:
+  /// \returns Whether the run is new; one that is known keeps its time.
+  bool add(UpstreamRunKey Run, TimePoint Now);
+  [[nodiscard]] bool contains(UpstreamRunKey Run) const {
+    return m_LearntAt.contains(Run);
+  }
+  /// \brief Whether the run was added after \p Since.
+  [[nodiscard]] bool containsSince(UpstreamRunKey Run, TimePoint Since) const;
+  void erase(UpstreamRunKey Run);
+  /// \brief The runs that were added after \p Since, newest first, up to
+  /// \p MaxRuns.
+  [[nodiscard]] std::vector<UpstreamRunKey> newest(TimePoint Since,
+                                                   std::size_t MaxRuns) const;
+
+private:
+  static constexpr std::size_t MaxEntries = 4096;
+
+  std::map<UpstreamRunKey, TimePoint> m_LearntAt;
+  /// Keys of m_LearntAt in the order in which they were added.
+  std::deque<UpstreamRunKey> m_Order;
+};
+
 /// \brief What was last known of an upstream whose registration was removed.
 struct Departure {
   std::int64_t m_StartedMs = 0;
   std::int64_t m_Sequence = 0;
-  bool m_Leaving = false; ///< It had announced that it was shutting down.
 };
 
 /// \brief Recent departures, by identifier. They tell the registration of a
@@ -69,7 +93,29 @@
   [[nodiscard]] std::optional<UpstreamChange>
   put(const UpstreamRegistration &Registration, TimePoint Now);
   /// \brief Removes a registration; running requests keep the object alive.
-  [[nodiscard]] std::optional<UpstreamChange> remove(const std::string &Id);
+  [[nodiscard]] std::optional<UpstreamChange> remove(const std::string &Id,
+                                                     TimePoint Now);
+  /// \brief Notes that a run announced its end, to this VM or to a peer. It
+  /// gets no new requests, also if it registers again or isn't registered yet.
+  /// \returns Whether this is new.
+  bool announceLeaving(UpstreamRunKey Run, TimePoint Now);
+  /// \brief Notes that a peer has removed a run, without any doubt.
+  /// \returns The upstream, if its removal was in doubt here.
+  [[nodiscard]] UpstreamPtr removedByPeer(UpstreamRunKey Run, TimePoint Now);
+  /// \brief Whether the run was removed lately, here or by a peer.
+  [[nodiscard]] bool wasRemoved(const UpstreamRegistration &Registration,
+                                TimePoint Now) const {
+    return m_Removals.containsSince(runKey(Registration), Now - NewsAge);
+  }
+  /// \brief Announcements and removals of which peers are told.
+  [[nodiscard]] std::vector<UpstreamRunKey>
+  recentAnnouncements(TimePoint Now) const {
+    return m_Announcements.newest(Now - NewsAge, MaxNews);
+  }
+  [[nodiscard]] std::vector<UpstreamRunKey>
+  recentRemovals(TimePoint Now) const {
+    return m_Removals.newest(Now - NewsAge, MaxNews);
+  }
   /// \brief Notes that the registration of \p Target is gone, but may only have
   /// expired. Its next registration or removal ends the doubt.
   void setRemovalInDoubt(Upstream &Target);
@@ -78,6 +124,8 @@
   [[nodiscard]] std::vector<std::string> ids() const;
 
   [[nodiscard]] UpstreamPtr find(std::string_view Id) const;
+  /// \brief The registered upstream of this run, or null.
+  [[nodiscard]] UpstreamPtr findRun(UpstreamRunKey Run) const;
   /// \brief Upstreams of \p Service, ordered by the hash of their identifiers.
   [[nodiscard]] std::span<const UpstreamPtr>
   upstreamsOf(const ServiceName &Service) const;
@@ -118,6 +166,11 @@
   /// have expired during an outage of the store, and their upstreams are used.
   static constexpr double MaxDoubtFraction = 0.3;
 
+  /// For this long, peers are told of an announcement or a removal: longer than
+  /// a removal stays in doubt, and enough for all VMs of a large fleet to hear.
+  static constexpr Duration NewsAge = 5s;
+  static constexpr std::size_t MaxNews = 32; ///< Of each kind, in a heartbeat.
+
   void clearDoubt(Upstream &Target);
   void addToService(const UpstreamPtr &Entry);
   void removeFromService(const UpstreamPtr &Entry);
@@ -130,6 +183,11 @@
   std::map<ServiceName, Duration> m_MeanProcessingTimes;
   std::set<FailureDomainName> m_Evacuated;
   DepartureLog m_Departures;
+  /// Runs that announced their end, in an answer or their registration.
+  RunLog m_Announcements;
+  /// Runs whose registrations were removed, here or by a peer, and have not
+  /// returned since.
+  RunLog m_Removals;
 };
 
 } // namespace mustardspoke::steer
--- a/tests/unit/local_share_test.cpp
+++ b/tests/unit/local_share_test.cpp
@@ -183,7 +183,7 @@
   Shares.update(System.m_Table, Small, Start, Tuning);
   Shares.recordRequest(Stock, Tuning);
   BOOST_TEST(!Shares.mayOverflow(Stock, Start, Tuning));
-  (void)System.m_Table.remove("s0");
+  (void)System.m_Table.remove("s0", Start);
   TimePoint Now = Start + Tuning.m_StepInterval;
   Shares.update(System.m_Table, Small, Now, Tuning);
   BOOST_TEST(Shares.mayOverflow(Stock, Now, Tuning));
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -30,7 +30,7 @@
 BOOST_AUTO_TEST_CASE(RestartUnderTheSameIdDiscardsMeasurements) {
   TwoRegions System;
   UpstreamPtr Entry = System.m_Table.find("l1");
-  Entry->m_AnnouncedLeaving = true;
+  (void)System.m_Table.announceLeaving(runKey(Entry->m_Registration), Start);
   (void)Entry->recordFailure(Start, System.m_Tuning.m_HealthTuning);
   (void)Entry->recordFailure(Start, System.m_Tuning.m_HealthTuning);
   UpstreamRegistration Registration = Entry->m_Registration;
@@ -58,7 +58,7 @@
   (void)System.m_Table.put(Leaving, Start);
   (void)System.m_Table.put(Ready, Start);
   BOOST_TEST(!System.m_Table.isUsable(*System.m_Table.find("l1")));
-  (void)System.m_Table.remove("l1");
+  (void)System.m_Table.remove("l1", Start);
   BOOST_TEST(!System.m_Table.put(Ready, Start).has_value());
   // Its own later update brings it back, but it is still leaving.
   Ready.m_Sequence = {10};
@@ -77,7 +77,7 @@
   Ready.m_StartedMs = 5;
   Ready.m_Sequence = {7};
   (void)System.m_Table.put(Ready, Start);
-  (void)System.m_Table.remove("l1");
+  (void)System.m_Table.remove("l1", Start);
   Ready.m_Sequence = {8};
   BOOST_TEST(System.m_Table.put(Ready, Start).has_value());
   BOOST_TEST(System.m_Table.isUsable(*System.m_Table.find("l1")));
@@ -91,8 +91,8 @@
   UpstreamRegistration Registration = Known->m_Registration;
   Registration.m_Sequence = {7};
   (void)System.m_Table.put(Registration, Start);
-  (void)System.m_Table.remove("l0");
-  Known->m_AnnouncedLeaving = true;
+  (void)System.m_Table.remove("l0", Start);
+  BOOST_TEST(System.m_Table.announceLeaving(runKey(Registration), Start));
   Registration.m_Sequence = {8};
   (void)System.m_Table.put(Registration, Start);
   UpstreamPtr Returned = System.m_Table.find("l0");
