VMs tell each other which upstreams have left

What callers saw: requests to upstreams that had left, from VMs that never lost the store.

Cause: a reader that had been cut off takes the removals of the next 2.2 s for expired entries, and the VMs that it relays rows to take over its doubt. If more than 0.3 of a service leave then, they are used. VMs whose reader never lost the store know that the removal is final, and don't say so. Class: an incomplete view is passed on as if it were the state of the system.

PeerThatRemovedAnUpstreamEndsTheDoubt does not compile on the code before, which has no such message.

Why this works: heartbeats name the runs whose ends were announced, or whose registrations were removed without doubt, in the last five seconds (at most 32 each). A removal that a peer knows of is final here too; a registration that returns takes it back. In an outage of the whole store nobody removes anything without doubt, so that expired entries keep their time to return. A VM that can't reach the store learns of announcements from its peers.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -95,6 +95,8 @@
     Result.m_ReaderAges = m_State.m_Fleet.readerAgesToSend(steadyNow());
   Result.m_ConfigVersion = m_State.m_Routes ? m_State.m_Routes->m_Version : 0;
   Result.m_SyncedVersions = m_Replica.syncedVersions();
+  Result.m_AnnouncedRuns = m_State.m_Upstreams.recentAnnouncements(steadyNow());
+  Result.m_RemovedRuns = m_State.m_Upstreams.recentRemovals(steadyNow());
   bool AllUpstreams = Region == m_State.m_Settings.m_Placement.m_Region ||
                       m_State.m_Fleet.isSmall();
   Result.m_PeerAges = m_State.m_Fleet.agesToSend(steadyNow(), m_Round);
@@ -232,6 +234,9 @@
     send(encodeHeartbeat(ownHeartbeat(Heartbeat.m_Sender.m_Region)),
          Heartbeat.m_Sender.m_PeerAddress);
   }
+  m_Replica.receivedDepartures(Heartbeat.m_AnnouncedRuns,
+                               Heartbeat.m_RemovedRuns,
+                               Heartbeat.m_Sender.m_Vm);
   for (const PeerAge &Age : Heartbeat.m_PeerAges)
     m_State.m_Fleet.receivedAge(Age, Now);
   m_State.m_Fleet.setPeerLoads(Heartbeat.m_Sender.m_Vm,
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -43,6 +43,11 @@
   /// \brief Applies rows from a peer; those older than the known ones are
   /// ignored.
   void applyRelayedRows(const RelayedRows &Rows);
+  /// \brief Applies what \p Peer says of the ends of upstreams: runs that have
+  /// announced theirs, and runs whose registrations it has removed.
+  void receivedDepartures(std::span<const UpstreamRunKey> Announced,
+                          std::span<const UpstreamRunKey> Removed,
+                          const VmName &Peer);
 
   /// \brief This VM follows the store itself, and the last call succeeded.
   [[nodiscard]] bool readsStore() const noexcept {
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -119,7 +119,9 @@
 void StoreReplica::applyUpstreamRow(const StoreRow &Row, bool Tentative) {
   if (Row.m_Removed) {
     UpstreamPtr Known = m_State.m_Upstreams.find(Row.m_Key);
-    if (Known && Known->isUsable() && Tentative) {
+    // A peer that never lost the store knows better than this VM or its reader.
+    if (Known && Known->isUsable() && Tentative &&
+        !m_State.m_Upstreams.wasRemoved(Known->m_Registration, steadyNow())) {
       m_State.m_Upstreams.setRemovalInDoubt(*Known);
       logUpstreamChange({{"upstream", Row.m_Key}, {"change", "in-doubt"}});
       asio::co_spawn(
@@ -187,6 +189,31 @@
   finishBatch("delayed removal");
 }
 
+void StoreReplica::receivedDepartures(std::span<const UpstreamRunKey> Announced,
+                                      std::span<const UpstreamRunKey> Removed,
+                                      const VmName &Peer) {
+  UpstreamTable &Upstreams = m_State.m_Upstreams;
+  for (UpstreamRunKey Run : Announced) {
+    if (!Upstreams.announceLeaving(Run, steadyNow()))
+      continue;
+    UpstreamPtr Target = Upstreams.findRun(Run);
+    if (!Target)
+      continue;
+    m_Pool.closeIdle(*Target);
+    logUpstreamChange({{"upstream", Target->m_Registration.m_Id},
+                       {"change", "announced-leaving"},
+                       {"peer", Peer.str()}});
+  }
+  for (UpstreamRunKey Run : Removed)
+    if (UpstreamPtr Doubted = Upstreams.removedByPeer(Run, steadyNow())) {
+      logUpstreamChange({{"upstream", Doubted->m_Registration.m_Id},
+                         {"change", "doubt-ended"},
+                         {"peer", Peer.str()}});
+      removeUpstream(Doubted->m_Registration.m_Id);
+    }
+  finishBatch("departures");
+}
+
 void StoreReplica::applyVmRow(const StoreRow &Row) {
   VmName Vm(Row.m_Key);
   if (Row.m_Removed) {
--- a/src/inner/heartbeat.capnp
+++ b/src/inner/heartbeat.capnp
@@ -48,6 +48,10 @@
   # Replaces upstreamLoads: 24 bits of the hash of the upstream's identifier, 8
   # bits of requests in flight there, in tenths of a request.
   compactLoads @19 :List(UInt32);
+  # Hashes of identifier and start time of upstreams that lately announced their
+  # end, and of those whose registrations the sender lately removed.
+  announcedRuns @20 :List(UInt64);
+  removedRuns @21 :List(UInt64);
 }
 
 # Asks for the rows that changed after the given version of each table. An empty
--- a/src/inner/heartbeat.capnp.h
+++ b/src/inner/heartbeat.capnp.h
@@ -67,7 +67,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85e556a46b20eb6a, 5, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(85e556a46b20eb6a, 5, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -357,6 +357,12 @@
   inline bool hasCompactLoads() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getCompactLoads() const;
 
+  inline bool hasAnnouncedRuns() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAnnouncedRuns() const;
+
+  inline bool hasRemovedRuns() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRemovedRuns() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -498,6 +504,22 @@
   inline void adoptCompactLoads(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownCompactLoads();
 
+  inline bool hasAnnouncedRuns();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getAnnouncedRuns();
+  inline void setAnnouncedRuns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAnnouncedRuns(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initAnnouncedRuns(unsigned int size);
+  inline void adoptAnnouncedRuns(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAnnouncedRuns();
+
+  inline bool hasRemovedRuns();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRemovedRuns();
+  inline void setRemovedRuns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRemovedRuns(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRemovedRuns(unsigned int size);
+  inline void adoptRemovedRuns(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRemovedRuns();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1431,6 +1453,82 @@
       ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasAnnouncedRuns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasAnnouncedRuns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Heartbeat::Reader::getAnnouncedRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::getAnnouncedRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setAnnouncedRuns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setAnnouncedRuns(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::initAnnouncedRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptAnnouncedRuns(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Heartbeat::Builder::disownAnnouncedRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
+inline bool Heartbeat::Reader::hasRemovedRuns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasRemovedRuns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Heartbeat::Reader::getRemovedRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::getRemovedRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setRemovedRuns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setRemovedRuns(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::initRemovedRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptRemovedRuns(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Heartbeat::Builder::disownRemovedRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
 inline bool RowsRequest::Reader::hasAfterVersions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/inner/heartbeat_codec.cpp
+++ b/src/inner/heartbeat_codec.cpp
@@ -44,17 +44,17 @@
 }
 
 std::vector<std::uint64_t>
-decodeVersions(capnp::List<std::uint64_t>::Reader List) {
-  std::vector<std::uint64_t> Versions;
-  for (std::uint64_t Version : List)
-    Versions.push_back(Version);
-  return Versions;
+decodeNumbers(capnp::List<std::uint64_t>::Reader List) {
+  std::vector<std::uint64_t> Numbers;
+  for (std::uint64_t Number : List)
+    Numbers.push_back(Number);
+  return Numbers;
 }
 
-void encodeVersions(capnp::List<std::uint64_t>::Builder List,
-                    std::span<const std::uint64_t> Versions) {
+void encodeNumbers(capnp::List<std::uint64_t>::Builder List,
+                   std::span<const std::uint64_t> Numbers) {
   for (unsigned I = 0; I < List.size(); ++I)
-    List.set(I, Versions[I]);
+    List.set(I, Numbers[I]);
 }
 
 constexpr unsigned AgeBits = 32 - PeerAge::HashBits - PeerAge::IncarnationBits;
@@ -103,7 +103,7 @@
   Result.m_Sender.m_Capacity = Message.getCapacity();
   Result.m_Sender.m_FollowsStore = Message.getReadsStore();
   Result.m_Sender.m_TimerLag = Duration(Message.getTimerLagMicros());
-  Result.m_SyncedVersions = decodeVersions(Message.getSyncedVersions());
+  Result.m_SyncedVersions = decodeNumbers(Message.getSyncedVersions());
   Result.m_ConfigVersion = Message.getConfigVersion();
   if (Result.m_Sender.m_Vm.empty() && Message.getVmHash() != 0)
     Result.m_BriefSenderHash = Message.getVmHash();
@@ -120,6 +120,8 @@
                                       double(Share.getUtilization())});
   Result.m_PeerAges = decodePeerAges(Message.getPeerAges());
   Result.m_ReaderAges = decodePeerAges(Message.getReaderAges());
+  Result.m_AnnouncedRuns = decodeNumbers(Message.getAnnouncedRuns());
+  Result.m_RemovedRuns = decodeNumbers(Message.getRemovedRuns());
   for (auto Address : Message.getKnownPeerAddresses())
     Result.m_KnownPeerAddresses.push_back(toString(Address));
   return Result;
@@ -136,13 +138,13 @@
           Row.getVersion(), Row.getRemoved()},
          Row.getTentative()});
   }
-  Result.m_SyncedVersions = decodeVersions(Message.getSyncedVersions());
+  Result.m_SyncedVersions = decodeNumbers(Message.getSyncedVersions());
   Result.m_IsFullRead = Message.getFullRead();
   return Result;
 }
 
 std::vector<std::uint64_t> toVersions(inner::RowsRequest::Reader Message) {
-  return decodeVersions(Message.getAfterVersions());
+  return decodeNumbers(Message.getAfterVersions());
 }
 
 /// \brief Decodes a message from an untrusted sender with \p Decode.
@@ -182,9 +184,14 @@
   Root.setCapacity(Message.m_Sender.m_Capacity);
   Root.setTimerLagMicros(std::uint32_t(Message.m_Sender.m_TimerLag.count()));
   Root.setReadsStore(Message.m_Sender.m_FollowsStore);
-  encodeVersions(
+  encodeNumbers(
       Root.initSyncedVersions(unsigned(Message.m_SyncedVersions.size())),
       Message.m_SyncedVersions);
+  encodeNumbers(
+      Root.initAnnouncedRuns(unsigned(Message.m_AnnouncedRuns.size())),
+      Message.m_AnnouncedRuns);
+  encodeNumbers(Root.initRemovedRuns(unsigned(Message.m_RemovedRuns.size())),
+                Message.m_RemovedRuns);
   Root.setConfigVersion(Message.m_ConfigVersion);
   auto Loads = Root.initCompactLoads(unsigned(Message.m_UpstreamLoads.size()));
   for (unsigned I = 0; I < Loads.size(); ++I) {
@@ -219,8 +226,8 @@
 std::string encodeRowsRequest(std::span<const std::uint64_t> AfterVersions) {
   capnp::MallocMessageBuilder Builder;
   auto Root = Builder.initRoot<inner::RowsRequest>();
-  encodeVersions(Root.initAfterVersions(unsigned(AfterVersions.size())),
-                 AfterVersions);
+  encodeNumbers(Root.initAfterVersions(unsigned(AfterVersions.size())),
+                AfterVersions);
   return serializePacked(Builder);
 }
 
@@ -243,7 +250,7 @@
     Rows[I].setRemoved(Row.m_Removed);
     Rows[I].setTentative(Relayed.m_Rows[I].m_Tentative);
   }
-  encodeVersions(
+  encodeNumbers(
       Root.initSyncedVersions(unsigned(Relayed.m_SyncedVersions.size())),
       Relayed.m_SyncedVersions);
   Root.setFullRead(Relayed.m_IsFullRead);
--- a/src/inner/heartbeat_codec.h
+++ b/src/inner/heartbeat_codec.h
@@ -37,6 +37,10 @@
   std::vector<PeerAge> m_ReaderAges;
   /// For each table: the version up to which the sender knows every row.
   std::vector<std::uint64_t> m_SyncedVersions;
+  /// Upstreams that lately announced their end, to the sender or a peer.
+  std::vector<UpstreamRunKey> m_AnnouncedRuns;
+  /// Upstreams whose registrations the sender lately removed.
+  std::vector<UpstreamRunKey> m_RemovedRuns;
 };
 
 [[nodiscard]] std::string encodeHeartbeat(const Heartbeat &Message);
--- a/tests/unit/inner_protocol_test.cpp
+++ b/tests/unit/inner_protocol_test.cpp
@@ -39,8 +39,12 @@
   Sent.m_ServiceShares = {{1, 0.5, 0.25}};
   Sent.m_SyncedVersions = {3, 4, 5};
   Sent.m_PeerAges = {{1234567 % 1048576, 9, 250ms}};
+  Sent.m_AnnouncedRuns = {1ULL << 63};
+  Sent.m_RemovedRuns = {6, 7};
   auto Received = decodeHeartbeat(encodeHeartbeat(Sent));
   BOOST_REQUIRE(Received.has_value());
+  BOOST_TEST((Received->m_AnnouncedRuns == Sent.m_AnnouncedRuns));
+  BOOST_TEST((Received->m_RemovedRuns == Sent.m_RemovedRuns));
   BOOST_TEST(Received->m_Sender.m_Vm.str() == "a");
   BOOST_TEST(Received->m_Sender.m_FollowsStore);
   BOOST_TEST((Received->m_Sender.m_TimerLag == 30ms));
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -214,6 +214,34 @@
   BOOST_TEST(RequestsTo("0") > 0);
 }
 
+// Guards against a VM that kept an upstream in doubt, and used it beside many
+// others in doubt, though its peers knew that it had left: they had never lost
+// the store, while the reader of its region had been cut off.
+BOOST_AUTO_TEST_CASE(PeerThatRemovedAnUpstreamEndsTheDoubt) {
+  UpstreamRegistration Registration;
+  Registration.m_Id = "u";
+  const UpstreamRunKey Run[] = {runKey(Registration)};
+  for (bool PeerFirst : {false, true}) {
+    ReplicaRig R;
+    R.relayRow(false, false, 10);
+    if (PeerFirst) {
+      R.m_Replica.receivedDepartures({}, Run, VmName("peer"));
+      BOOST_TEST(R.known()); // It may have registered again since.
+    }
+    R.relayRow(true, true, 11);
+    BOOST_TEST(R.known() == !PeerFirst);
+    if (!PeerFirst)
+      R.m_Replica.receivedDepartures({}, Run, VmName("peer"));
+    BOOST_TEST(!R.known());
+    BOOST_TEST(R.m_State.m_Upstreams.recentRemovals(steadyNow()).size() == 1U);
+    // A registration that returns ends what was known of the removal.
+    R.relayRow(false, false, 12);
+    BOOST_TEST(R.known());
+    R.relayRow(true, true, 13);
+    BOOST_TEST(R.known());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(TentativeRemovalWaitsForTheRowToReturn) {
   ReplicaRig R;
   R.relayRow(false, false, 10);
