--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -478,4 +478,31 @@
   BOOST_TEST(!Store.hasReceived("none")); // The call bears no identifier.
 }
 
+// Guards against a VM that ignored the rate limit that an upstream names in its
+// answers. The keys that it may not send there go elsewhere.
+BOOST_AUTO_TEST_CASE(UpstreamThatNamesARateLimitGetsNoMore) {
+  constexpr double Limit = 8; // Requests a second.
+  ExchangeRig R;
+  R.m_State.m_Fleet.setComplete();
+  std::vector<TimePoint> Arrived;
+  R.upstream("limited", [&Arrived](ServerSide &Side) -> awaitable<void> {
+    for (;;) {
+      std::string Id = co_await Side.readRequest();
+      if (Id.empty())
+        co_return;
+      Arrived.push_back(steadyNow());
+      co_await Side.respond(Id, Id, "Server-Limit: 8.0\r\n");
+    }
+  });
+  R.upstream("other", echo);
+  TimePoint Begin = steadyNow();
+  for (int I = 0; steadyNow() - Begin < 2s; ++I)
+    BOOST_TEST(R.ask(get(std::to_string(I))).m_Head.m_Status == 200U);
+  // From half a second after the first answer with the limit.
+  auto Counted = std::ranges::count_if(
+      Arrived, [Begin](TimePoint At) { return At - Begin > 500ms; });
+  BOOST_TEST(double(Counted) <= 1.5 * 1.5 * Limit + 5);
+  BOOST_TEST(double(Counted) >= 0.5 * 1.5 * Limit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
