Rate limits that upstreams name are kept by the fleet together

What callers and servers saw: an upstream in need named 8.8 requests a second and got 107 in 4 s; 58 are allowed.

Cause: the field was known nowhere. Class: a contract of the platform that the product ignores.

Why this works: VMs of the upstream's region, which send nearly all of its requests, each have an equal part of the limit and a token bucket that starts empty. They are counted by the rows in the store, dead ones too, so that the parts never add up to more than the limit. VMs of other regions send nothing; their keys, and those for which there is no token, go to the next upstream in the order of the key. Statements are ordered by the time at which the answered request was sent, travel with heartbeats, and end by an answer without the field, a new start, or after 60 s without any. At least one VM sends a request every two seconds, so that the end is noticed. If all upstreams are limited, callers are refused at once and return one after the other at the rate of the limits.

The rate of cold upstreams is divided by the same function, so its senders are now VMs of the upstream's region as well, and fewer VMs have larger parts.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -27,6 +27,8 @@
     return "full";
   case RefusalReason::AllQuiet:
     return "quiet";
+  case RefusalReason::AllLimited:
+    return "limited";
   case RefusalReason::None:
   case RefusalReason::NoCandidate:
     break;
@@ -142,11 +144,12 @@
   if (MeanBytes != m_State.m_MeanResponseBytes.end())
     Input.m_MeanAnswerBytes = std::uint64_t(MeanBytes->second);
   Input.m_Tried = Tried;
-  Input.m_Fleet = &m_State;
-  Input.m_MaySendCold = [](const void *State, std::uint64_t UpstreamHash) {
-    const auto &Shared = *static_cast<const GatewayState *>(State);
-    return Shared.m_Fleet.maySendCold(
-        UpstreamHash, Shared.m_Settings.m_Choice.m_MaxColdSenders);
+  Input.m_Fleet = &m_State.m_Fleet;
+  Input.m_SenderFraction = [](const void *FleetState, const Upstream &Target,
+                              unsigned MaxSenders, TimePoint Now) {
+    return static_cast<const Fleet *>(FleetState)
+        ->senderFraction(Target.m_IdHash, Target.m_Registration.m_Region,
+                         MaxSenders, Now);
   };
   return m_State.m_Strategies.m_Choose(Input, m_State.m_Upstreams,
                                        m_State.m_Settings.m_Placement,
@@ -162,6 +165,10 @@
     m_State.m_LocalShares.recordChoice(m_TargetService, Selected);
     if (!Selected.m_Upstream) {
       m_Choice.m_IsLocalKey = Selected.m_IsLocalKey;
+      if (Selected.m_RefusalReason == RefusalReason::AllLimited)
+        Selected.m_RetryAfter =
+            m_State.m_LimitedReturns[m_TargetService].reserve(
+                steadyNow(), Selected.m_LimitedRate);
       co_return co_await giveUp(Last, Selected.m_RetryAfter,
                                 refusalName(Selected.m_RefusalReason));
     }
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -2,6 +2,7 @@
 /// One attempt at an upstream: connection, request, response.
 #include "gateway/exchange.h"
 
+#include "gateway/limit_report.h"
 #include "observe/log.h"
 
 #include <boost/asio/write.hpp>
@@ -220,6 +221,12 @@
               {"upstream", Target.m_Registration.m_Id},
               {"ms", std::to_string(toMillis(*Metadata.m_QuietTime))}});
   }
+  // Bytes that aren't the upstream's answer say nothing of its limit.
+  bool IsItsAnswer =
+      (Metadata.m_Signed || Metadata.m_NotRun) && !Metadata.m_AddressReused;
+  if (IsItsAnswer && (Metadata.m_RateLimit || !Metadata.m_RateLimitUnreadable))
+    applyStatedLimit(Target, {Metadata.m_RateLimit, m_SentAt},
+                     m_Metadata.m_RequestId);
   m_Connection->m_IdleTimeout =
       Metadata.m_KeepAliveTimeout
           ? std::max<Duration>(*Metadata.m_KeepAliveTimeout - IdleMargin,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/exchange.h"
+#include "gateway/limit_report.h"
 #include "gateway/peers.h"
 #include "gateway/share_report.h"
 #include "observe/log.h"
@@ -141,10 +142,11 @@
 }
 
 std::string Gateway::metricsPage(const HttpHead & /*Head*/) {
-  return completeResponse(200, "text/plain",
-                          m_State.m_Metrics.exposition() +
-                              m_Replica.exposition() +
-                              shareExposition(m_State.m_LocalShares));
+  return completeResponse(
+      200, "text/plain",
+      m_State.m_Metrics.exposition() + m_Replica.exposition() +
+          shareExposition(m_State.m_LocalShares) +
+          limitExposition(m_State.m_Upstreams, steadyNow()));
 }
 
 std::string Gateway::notFoundPage(const HttpHead & /*Head*/) {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -2,6 +2,7 @@
 /// Sockets of the inner protocol.
 #include "gateway/peers.h"
 
+#include "gateway/limit_report.h"
 #include "observe/log.h"
 
 #include <boost/asio/write.hpp>
@@ -97,6 +98,7 @@
   Result.m_SyncedVersions = m_Replica.syncedVersions();
   Result.m_AnnouncedRuns = m_State.m_Upstreams.recentAnnouncements(steadyNow());
   Result.m_RemovedRuns = m_State.m_Upstreams.recentRemovals(steadyNow());
+  Result.m_Limits = limitsToSend(m_State.m_Upstreams, steadyNow());
   bool AllUpstreams = Region == m_State.m_Settings.m_Placement.m_Region ||
                       m_State.m_Fleet.isSmall();
   Result.m_PeerAges = m_State.m_Fleet.agesToSend(steadyNow(), m_Round);
@@ -237,6 +239,8 @@
   m_Replica.receivedDepartures(Heartbeat.m_AnnouncedRuns,
                                Heartbeat.m_RemovedRuns,
                                Heartbeat.m_Sender.m_Vm);
+  applyPeerLimits(m_State.m_Upstreams, Heartbeat.m_Limits,
+                  Heartbeat.m_Sender.m_Vm, Now);
   for (const PeerAge &Age : Heartbeat.m_PeerAges)
     m_State.m_Fleet.receivedAge(Age, Now);
   m_State.m_Fleet.setPeerLoads(Heartbeat.m_Sender.m_Vm,
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -57,6 +57,8 @@
   LocalShares m_LocalShares;
   TrafficSplitter m_TrafficSplit;
   std::map<ServiceName, RetryBudget> m_RetryBudgets;
+  /// For callers refused because all upstreams of the service are limited.
+  std::map<ServiceName, ReturnSchedule> m_LimitedReturns;
   /// Running mean of the response size of each route in bytes, by route name.
   std::map<std::string, double> m_MeanResponseBytes;
 
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -31,6 +31,10 @@
   bool m_Leaving = false;       ///< The upstream is about to shut down.
   /// The upstream asks this VM to send it nothing for this long.
   std::optional<Duration> m_QuietTime;
+  /// Requests per second that the upstream takes from all VMs together.
+  std::optional<double> m_RateLimit;
+  /// It named a limit that can't be read, so nothing is known of it.
+  bool m_RateLimitUnreadable = false;
   /// The body is encoded, so not the upstream's original.
   bool m_ContentEncoded = false;
   std::optional<LoadReport> m_Load;
--- a/src/inner/heartbeat.capnp
+++ b/src/inner/heartbeat.capnp
@@ -16,6 +16,14 @@
   utilization @2 :Float32;  # fraction of the slots in use in the sender's region
 }
 
+# Rate limit that an upstream stated in an answer.
+struct UpstreamLimit {
+  run @0 :UInt64;       # hash of its identifier and start time
+  isNamed @1 :Bool;     # false: it stated that there is none any more
+  perSecond @2 :Float32;
+  ageMillis @3 :UInt32; # since the answered request was sent
+}
+
 struct Heartbeat {
   vm @0 :Text;
   incarnation @1 :UInt64;
@@ -52,6 +60,7 @@
   # end, and of those whose registrations the sender lately removed.
   announcedRuns @20 :List(UInt64);
   removedRuns @21 :List(UInt64);
+  limits @22 :List(UpstreamLimit);
 }
 
 # Asks for the rows that changed after the given version of each table. An empty
--- a/src/inner/heartbeat.capnp.h
+++ b/src/inner/heartbeat.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(96f44ce3c43727b6);
 CAPNP_DECLARE_SCHEMA(dedb8dd8efeb3edf);
+CAPNP_DECLARE_SCHEMA(c9aeda48b7ba50c0);
 CAPNP_DECLARE_SCHEMA(85e556a46b20eb6a);
 CAPNP_DECLARE_SCHEMA(cd42bf6f3d857bd1);
 CAPNP_DECLARE_SCHEMA(a001cd27c72c9d70);
@@ -59,6 +60,21 @@
   };
 };
 
+struct UpstreamLimit {
+  UpstreamLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c9aeda48b7ba50c0, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Heartbeat {
   Heartbeat() = delete;
 
@@ -67,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85e556a46b20eb6a, 5, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(85e556a46b20eb6a, 5, 15)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -288,6 +304,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamLimit::Reader {
+public:
+  typedef UpstreamLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRun() const;
+
+  inline bool getIsNamed() const;
+
+  inline float getPerSecond() const;
+
+  inline  ::uint32_t getAgeMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamLimit::Builder {
+public:
+  typedef UpstreamLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline bool getIsNamed();
+  inline void setIsNamed(bool value);
+
+  inline float getPerSecond();
+  inline void setPerSecond(float value);
+
+  inline  ::uint32_t getAgeMillis();
+  inline void setAgeMillis( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamLimit::Pipeline {
+public:
+  typedef UpstreamLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Heartbeat::Reader {
 public:
   typedef Heartbeat Reads;
@@ -363,6 +470,9 @@
   inline bool hasRemovedRuns() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRemovedRuns() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -520,6 +630,13 @@
   inline void adoptRemovedRuns(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRemovedRuns();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -913,6 +1030,62 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t UpstreamLimit::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamLimit::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamLimit::Reader::getIsNamed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamLimit::Builder::getIsNamed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setIsNamed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline float UpstreamLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float UpstreamLimit::Builder::getPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamLimit::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLimit::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Heartbeat::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1529,6 +1702,40 @@
       ::capnp::bounded<13>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setLimits( ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
 inline bool RowsRequest::Reader::hasAfterVersions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/inner/heartbeat_codec.cpp
+++ b/src/inner/heartbeat_codec.cpp
@@ -122,6 +122,14 @@
   Result.m_ReaderAges = decodePeerAges(Message.getReaderAges());
   Result.m_AnnouncedRuns = decodeNumbers(Message.getAnnouncedRuns());
   Result.m_RemovedRuns = decodeNumbers(Message.getRemovedRuns());
+  for (auto Limit : Message.getLimits()) {
+    PeerLimit &Added = Result.m_Limits.emplace_back();
+    Added.m_Run = Limit.getRun();
+    double Rate = double(Limit.getPerSecond());
+    if (Limit.getIsNamed() && std::isfinite(Rate) && Rate >= 0)
+      Added.m_Rate = Rate;
+    Added.m_Age = std::chrono::milliseconds(Limit.getAgeMillis());
+  }
   for (auto Address : Message.getKnownPeerAddresses())
     Result.m_KnownPeerAddresses.push_back(toString(Address));
   return Result;
@@ -193,6 +201,14 @@
   encodeNumbers(Root.initRemovedRuns(unsigned(Message.m_RemovedRuns.size())),
                 Message.m_RemovedRuns);
   Root.setConfigVersion(Message.m_ConfigVersion);
+  auto Limits = Root.initLimits(unsigned(Message.m_Limits.size()));
+  for (unsigned I = 0; I < Limits.size(); ++I) {
+    const PeerLimit &Limit = Message.m_Limits[I];
+    Limits[I].setRun(Limit.m_Run);
+    Limits[I].setIsNamed(Limit.m_Rate.has_value());
+    Limits[I].setPerSecond(float(Limit.m_Rate.value_or(0)));
+    Limits[I].setAgeMillis(std::uint32_t(toMillis(Limit.m_Age)));
+  }
   auto Loads = Root.initCompactLoads(unsigned(Message.m_UpstreamLoads.size()));
   for (unsigned I = 0; I < Loads.size(); ++I) {
     const PeerLoad &Load = Message.m_UpstreamLoads[I];
--- a/src/inner/heartbeat_codec.h
+++ b/src/inner/heartbeat_codec.h
@@ -20,6 +20,13 @@
   double m_Utilization = 0; ///< Fraction of the region's slots in use.
 };
 
+/// \brief What a VM knows of the rate limit of an upstream.
+struct PeerLimit {
+  UpstreamRunKey m_Run = 0;
+  std::optional<double> m_Rate; ///< As in StatedLimit.
+  Duration m_Age{}; ///< Since the request was sent whose answer stated it.
+};
+
 /// \brief State that an entry VM sends to its peers several times a second.
 struct Heartbeat {
   /// A brief heartbeat omits its names and addresses.
@@ -41,6 +48,7 @@
   std::vector<UpstreamRunKey> m_AnnouncedRuns;
   /// Upstreams whose registrations the sender lately removed.
   std::vector<UpstreamRunKey> m_RemovedRuns;
+  std::vector<PeerLimit> m_Limits;
 };
 
 [[nodiscard]] std::string encodeHeartbeat(const Heartbeat &Message);
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -109,19 +109,52 @@
          double(Target.m_Registration.m_Slots) * Tuning.m_NonHolderMaxLoad;
 }
 
-/// \brief Refusal until the first of the upstreams that asked for a pause is
+double senderFraction(const Upstream &Target, unsigned MaxSenders,
+                      const ChoiceInput &Input) {
+  return Input.m_SenderFraction
+             ? Input.m_SenderFraction(Input.m_Fleet, Target, MaxSenders,
+                                      Input.m_Now)
+             : 1.0 / MaxSenders;
+}
+
+/// \brief This VM's part of the limit that \p Target has named; 0 if it may
+/// send nothing there.
+double limitFraction(const Upstream &Target, const ChoiceInput &Input) {
+  return senderFraction(Target, Target.m_RateLimit.maxSenders(), Input);
+}
+
+/// \brief Whether the rate limit that \p Target may have named allows one more
+/// request.
+bool isWithinLimit(Upstream &Target, const ChoiceInput &Input) {
+  return !Target.m_RateLimit.isSet(Input.m_Now) ||
+         Target.m_RateLimit.permits(Input.m_Now, limitFraction(Target, Input));
+}
+
+/// \brief Refusal for lack of any candidate: until their limits allow further
+/// requests, or until the first of the upstreams that asked for a pause is
 /// back. Callers return spread out after it.
-Choice refuseUntilFirstReturns(const ChoiceInput &Input,
-                               const UpstreamTable &Table) {
+Choice refuseWithoutCandidate(const ChoiceInput &Input,
+                              const UpstreamTable &Table) {
   constexpr double MaxSpread = 0.25; // Fraction of the pause.
   Duration Soonest = Duration::max();
-  for (const UpstreamPtr &Entry : Table.upstreamsOf(Input.m_ServiceName))
-    if (Table.isUsable(*Entry) && Entry->isQuiet(Input.m_Now) &&
-        Input.m_Route.allows(Entry->m_Registration.m_Region))
-      Soonest = std::min(Soonest, Entry->m_QuietUntil - Input.m_Now);
   Choice Refusal;
   Refusal.m_RefusalReason = RefusalReason::NoCandidate;
   Refusal.m_RetryAfter = 500ms;
+  for (const UpstreamPtr &Entry : Table.upstreamsOf(Input.m_ServiceName)) {
+    if (!Input.m_Route.allows(Entry->m_Registration.m_Region))
+      continue;
+    Exclusion Reason = Table.exclusion(*Entry, Input.m_Now);
+    if (Reason == Exclusion::Quiet)
+      Soonest = std::min(Soonest, Entry->m_QuietUntil - Input.m_Now);
+    if (Reason == Exclusion::None && !wasTried(*Entry, Input.m_Tried) &&
+        Entry->m_RateLimit.isSet(Input.m_Now)) {
+      Refusal.m_RefusalReason = RefusalReason::AllLimited;
+      Refusal.m_LimitedRate +=
+          Entry->m_RateLimit.usableRate() * limitFraction(*Entry, Input);
+    }
+  }
+  if (Refusal.m_RefusalReason == RefusalReason::AllLimited)
+    return Refusal;
   if (Soonest == Duration::max())
     return Refusal;
   double Position = double(mix(Input.m_KeyHash) >> 11) * 0x1p-53;
@@ -146,7 +179,8 @@
   for (const UpstreamPtr &Entry : All) {
     if (Table.exclusion(*Entry, Input.m_Now) != Exclusion::None ||
         wasTried(*Entry, Input.m_Tried) ||
-        !Input.m_Route.allows(Entry->m_Registration.m_Region))
+        !Input.m_Route.allows(Entry->m_Registration.m_Region) ||
+        !isWithinLimit(*Entry, Input))
       continue;
     Candidate Next;
     Next.m_Upstream = Entry.get();
@@ -183,6 +217,8 @@
   Result.m_Upstream = UpstreamPtr(Selected.m_Upstream);
   Result.m_Load = Selected.m_Upstream->load(Input.m_Now, Tuning.m_HealthTuning);
   Result.m_IsOverflow = Selected.m_Tier == Tier::Second;
+  if (Selected.m_Upstream->m_RateLimit.isSet(Input.m_Now))
+    Selected.m_Upstream->m_RateLimit.recordRequest();
   return Result;
 }
 
@@ -202,7 +238,7 @@
   if (!Input.m_MayOverflow)
     keepToFirstTiers(Candidates);
   if (Candidates.empty())
-    return refuseUntilFirstReturns(Input, Table);
+    return refuseWithoutCandidate(Input, Table);
   Choice Refusal;
   auto Unhealthy =
       std::partition(Candidates.begin(), Candidates.end(), isHealthy);
@@ -243,20 +279,13 @@
   if (!Input.m_ServiceSettings ||
       Input.m_ServiceSettings->m_ColdRequestsPerSecond <= 0)
     return true;
-  if (Input.m_MaySendCold &&
-      !Input.m_MaySendCold(Input.m_Fleet, Target.m_IdHash))
-    return false;
   double Rate = Input.m_ServiceSettings->m_ColdRequestsPerSecond *
-                Tuning.m_ColdRateFraction / Tuning.m_MaxColdSenders;
-  double Elapsed =
-      std::chrono::duration<double>(Input.m_Now - Target.m_ColdTokensUpdatedAt)
-          .count();
-  Target.m_ColdTokens = std::min(1.0, Target.m_ColdTokens + Elapsed * Rate);
-  Target.m_ColdTokensUpdatedAt = Input.m_Now;
-  if (Target.m_ColdTokens < 1)
+                Tuning.m_ColdRateFraction *
+                senderFraction(Target, Tuning.m_MaxColdSenders, Input);
+  if (Rate <= 0)
     return false;
-  Target.m_ColdTokens -= 1;
-  return true;
+  Target.m_ColdTokens.refill(Input.m_Now, Rate, 1);
+  return Target.m_ColdTokens.take();
 }
 
 Choice chooseByKeyLocalFirst(const ChoiceInput &Input,
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -62,10 +62,12 @@
   Duration m_MeanProcessingTime{};
   std::uint64_t m_MeanAnswerBytes = 0;
   std::span<const Upstream *const> m_Tried; ///< Excluded from the selection.
-  /// Whether this VM is one of the few that may send to the cold upstream.
-  bool (*m_MaySendCold)(const void *Fleet,
-                        std::uint64_t UpstreamHash) = nullptr;
-  const void *m_Fleet = nullptr; ///< First argument of m_MaySendCold.
+  /// This VM's part of the rate that an upstream tolerates from at most
+  /// \p MaxSenders VMs; see Fleet::senderFraction(). If it is null, every VM
+  /// has an equal part.
+  double (*m_SenderFraction)(const void *Fleet, const Upstream &Target,
+                             unsigned MaxSenders, TimePoint Now) = nullptr;
+  const void *m_Fleet = nullptr; ///< First argument of m_SenderFraction.
 };
 
 /// \brief Why no upstream was selected.
@@ -74,6 +76,7 @@
   NoCandidate, ///< No upstream of the service is known or allowed.
   AllFull,     ///< Every allowed upstream is at its load limit.
   AllQuiet,    ///< Every allowed upstream asked for a pause.
+  AllLimited,  ///< Every allowed upstream is at the rate limit that it named.
 };
 
 struct Choice {
@@ -81,6 +84,8 @@
   RefusalReason m_RefusalReason = RefusalReason::None;
   /// Delay after which capacity is expected; set only on refusal.
   Duration m_RetryAfter{};
+  /// For AllLimited: requests per second that this VM may send.
+  double m_LimitedRate = 0;
   double m_Load = 0;         ///< Estimated load of the selected upstream.
   bool m_IsOverflow = false; ///< Selected outside the regions of the key.
   /// Whether the key is assigned to the own region; also set on refusal.
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -231,17 +231,33 @@
   return Found != m_Peers.end() && isLive(Found->second, Now);
 }
 
-bool Fleet::maySendCold(std::uint64_t UpstreamHash, unsigned Senders) const {
+double Fleet::senderFraction(std::uint64_t UpstreamHash,
+                             const RegionName &Region, unsigned MaxSenders,
+                             TimePoint Now) const {
   if (!m_IsComplete)
-    return false;
+    return 0;
+  bool IsLocal = m_Self.m_Region == Region;
+  bool AnyRegion =
+      !IsLocal && std::ranges::none_of(m_Peers, [&](const auto &Entry) {
+        return Entry.second.m_State.m_Region == Region &&
+               isLive(Entry.second, Now);
+      });
+  if (!IsLocal && !AnyRegion)
+    return 0;
   auto RankOf = [UpstreamHash](const VmName &Vm) {
     return stableHash(Vm.str(), UpstreamHash);
   };
   std::uint64_t OwnRank = RankOf(m_Self.m_Vm);
+  unsigned Candidates = 1;
   unsigned HigherRanked = 0;
-  for (const auto &[Vm, Entry] : m_Peers)
+  for (const auto &[Vm, Entry] : m_Peers) {
+    if (!AnyRegion && Entry.m_State.m_Region != Region)
+      continue;
+    ++Candidates;
     HigherRanked += RankOf(Vm) > OwnRank ? 1U : 0U;
-  return HigherRanked < Senders;
+  }
+  unsigned Senders = std::min(Candidates, MaxSenders);
+  return HigherRanked < Senders ? 1.0 / Senders : 0;
 }
 
 bool Fleet::mustFollowStore(TimePoint Now, bool Follows) const {
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -184,11 +184,15 @@
   [[nodiscard]] double limitFraction() const noexcept {
     return m_IsComplete ? 1.0 / knownCount() : 0;
   }
-  /// \brief Whether this VM is one of the \p Senders that may send to a cold
-  /// upstream. False until the fleet is complete: each VM would count itself
-  /// among the few.
-  [[nodiscard]] bool maySendCold(std::uint64_t UpstreamHash,
-                                 unsigned Senders) const;
+  /// \brief This VM's part of a rate that an upstream tolerates from all VMs
+  /// together: an equal part if it is one of the few that may send there, else
+  /// 0. These are VMs of the upstream's region, as most of its requests come
+  /// from there; only while none of them is alive, VMs of any region. The parts
+  /// add up to 1 on VMs that know the same VMs, whether or not these are alive.
+  /// 0 until the fleet is complete: each VM would count itself among the few.
+  [[nodiscard]] double senderFraction(std::uint64_t UpstreamHash,
+                                      const RegionName &Region,
+                                      unsigned MaxSenders, TimePoint Now) const;
 
   /// \brief Whether this VM must read the store itself, because too few other
   /// VMs of its region do.
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -7,6 +7,7 @@
 #include "steer/choice.h"
 #include "steer/fleet.h"
 #include "steer/local_share.h"
+#include "steer/rate_limit.h"
 #include "steer/retry_budget.h"
 #include "steer/route_table.h"
 #include "steer/row_cache.h"
--- a/src/steer/upstream.cpp
+++ b/src/steer/upstream.cpp
@@ -91,6 +91,7 @@
   m_AnnouncedLeaving = false;
   m_AddressLost = false;
   m_QuietUntil = {};
+  m_RateLimit = {};
 }
 
 } // namespace mustardspoke::steer
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -4,6 +4,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "steer/rate_limit.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -167,9 +168,8 @@
   /// \brief Discards measurements of an earlier incarnation with the same id.
   void resetAfterRestart();
 
-  // Token bucket of one token that limits the request rate while it is cold.
-  double m_ColdTokens = 1;
-  TimePoint m_ColdTokensUpdatedAt{};
+  TokenBucket m_ColdTokens{1}; ///< For requests while it is cold.
+  RateLimit m_RateLimit;       ///< That it names in its answers.
 
 private:
   LoadReport m_LastReport;
--- a/src/steer/upstream_table.cpp
+++ b/src/steer/upstream_table.cpp
@@ -98,8 +98,9 @@
     m_Removals.erase(Run);
     Added->m_IdHash = stableHash(Registration.m_Id);
     Added->m_ColdUntil = Now + Registration.m_WarmUpRemaining;
-    Added->m_ColdTokensUpdatedAt = Now;
+    Added->m_ColdTokens = TokenBucket(1, Now);
     m_ById.emplace(Registration.m_Id, Added);
+    m_ByRun.insert_or_assign(Run, Added);
     addToService(Added);
     return UpstreamChange{Kind::Added, Added};
   }
@@ -117,6 +118,8 @@
   bool Moved = Registration.m_Service != Known->m_Registration.m_Service;
   if (Moved)
     removeFromService(Known);
+  m_ByRun.erase(runKey(Known->m_Registration));
+  m_ByRun.insert_or_assign(Run, Known);
   Known->m_Registration = Registration;
   if (Moved)
     addToService(Known);
@@ -143,15 +146,14 @@
   m_Departures.record(*Removed);
   m_Removals.add(runKey(Removed->m_Registration), Now);
   removeFromService(Removed);
+  m_ByRun.erase(runKey(Removed->m_Registration));
   m_ById.erase(Found);
   return UpstreamChange{UpstreamChange::Kind::Removed, Removed};
 }
 
 UpstreamPtr UpstreamTable::findRun(UpstreamRunKey Run) const {
-  for (const auto &[Id, Entry] : m_ById)
-    if (runKey(Entry->m_Registration) == Run)
-      return Entry;
-  return nullptr;
+  auto Found = m_ByRun.find(Run);
+  return Found == m_ByRun.end() ? nullptr : Found->second;
 }
 
 bool UpstreamTable::announceLeaving(UpstreamRunKey Run, TimePoint Now) {
--- a/src/steer/upstream_table.h
+++ b/src/steer/upstream_table.h
@@ -177,6 +177,7 @@
 
   /// Holds the same objects as m_ByService.
   std::map<std::string, UpstreamPtr, std::less<>> m_ById;
+  std::map<UpstreamRunKey, UpstreamPtr> m_ByRun; ///< The same objects.
   std::map<ServiceName, std::vector<UpstreamPtr>> m_ByService;
   /// Number of a service's upstreams with m_RemovalInDoubt.
   std::map<ServiceName, std::size_t> m_InDoubt;
--- a/tests/unit/adapter_test.cpp
+++ b/tests/unit/adapter_test.cpp
@@ -158,4 +158,25 @@
   BOOST_TEST(!Decode(429, "Retry-After", "2").m_QuietTime.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(RateLimitIsDecodedAndOddValuesDoNoHarm) {
+  auto Decode = [](std::vector<HttpField> Fields) {
+    HttpHead Head;
+    Head.m_Status = 200;
+    Head.m_Fields = std::move(Fields);
+    return platform::wireFormat().m_ReadResponseMetadata(Head);
+  };
+  BOOST_TEST((Decode({{"server-limit", "6.8"}}).m_RateLimit == 6.8));
+  BOOST_TEST((Decode({{"Server-Limit", "0"}}).m_RateLimit == 0.0));
+  BOOST_TEST((Decode({{"Server-Limit", "1e300"}}).m_RateLimit == 1e300));
+  BOOST_TEST(
+      (Decode({{"Server-Limit", "9"}, {"Server-Limit", "4"}}).m_RateLimit ==
+       4.0));
+  BOOST_TEST(!Decode({}).m_RateLimitUnreadable);
+  for (const char *Value : {"", "-1", "nan", "inf", "many", "8 a second"}) {
+    ResponseMetadata Metadata = Decode({{"Server-Limit", Value}});
+    BOOST_TEST(!Metadata.m_RateLimit.has_value());
+    BOOST_TEST(Metadata.m_RateLimitUnreadable);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/choice_test.cpp
+++ b/tests/unit/choice_test.cpp
@@ -126,7 +126,8 @@
   // of one.
   BOOST_TEST(Sent <= 3);
   BOOST_TEST(Sent >= 2);
-  Input.m_MaySendCold = [](const void *, std::uint64_t) { return false; };
+  Input.m_SenderFraction = [](const void *, const Upstream &, unsigned,
+                              TimePoint) { return 0.0; };
   BOOST_TEST(!takeColdToken(*Cold, Input, System.m_Tuning));
 }
 
--- a/tests/unit/fleet_members_test.cpp
+++ b/tests/unit/fleet_members_test.cpp
@@ -124,7 +124,7 @@
       (void)Self.receivedHeartbeat(vm("vm" + std::to_string(Other), "r"),
                                    Start);
     Self.setComplete();
-    Senders += Self.maySendCold(12345, 6) ? 1 : 0;
+    Senders += Self.senderFraction(12345, RegionName("r"), 6, Start) > 0;
   }
   BOOST_TEST(Senders == 6);
 }
@@ -139,7 +139,7 @@
   unsigned Retries = 0;
   for (unsigned Index = 0; Index < Vms; ++Index) {
     Fleet Self(vm("vm" + std::to_string(Index), "r"), {});
-    Senders += Self.maySendCold(12345, 6) ? 1 : 0;
+    Senders += Self.senderFraction(12345, RegionName("r"), 6, Start) > 0;
     RetryBudget Budget;
     while (Budget.takeRetry(Start, Self.limitFraction(), Tuning))
       ++Retries;
--- a/tests/unit/inner_protocol_test.cpp
+++ b/tests/unit/inner_protocol_test.cpp
@@ -41,10 +41,15 @@
   Sent.m_PeerAges = {{1234567 % 1048576, 9, 250ms}};
   Sent.m_AnnouncedRuns = {1ULL << 63};
   Sent.m_RemovedRuns = {6, 7};
+  Sent.m_Limits = {{8, 2.5, 1200ms}, {9, std::nullopt, 3ms}};
   auto Received = decodeHeartbeat(encodeHeartbeat(Sent));
   BOOST_REQUIRE(Received.has_value());
   BOOST_TEST((Received->m_AnnouncedRuns == Sent.m_AnnouncedRuns));
   BOOST_TEST((Received->m_RemovedRuns == Sent.m_RemovedRuns));
+  BOOST_REQUIRE(Received->m_Limits.size() == 2U);
+  BOOST_TEST((Received->m_Limits[0].m_Rate == 2.5));
+  BOOST_TEST((Received->m_Limits[0].m_Age == 1200ms));
+  BOOST_TEST(!Received->m_Limits[1].m_Rate.has_value());
   BOOST_TEST(Received->m_Sender.m_Vm.str() == "a");
   BOOST_TEST(Received->m_Sender.m_FollowsStore);
   BOOST_TEST((Received->m_Sender.m_TimerLag == 30ms));
