--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -21,8 +21,9 @@
 /// other of the limit. Time is simulated.
 class LimitedFleet {
 public:
-  LimitedFleet(unsigned VmsPerRegion, double Limit)
-      : m_Limit(Limit), m_VmsPerRegion(VmsPerRegion) {
+  /// \param Divided Whether each VM uses only its part of the limit.
+  LimitedFleet(unsigned VmsPerRegion, double Limit, bool Divided = true)
+      : m_Limit(Limit), m_VmsPerRegion(VmsPerRegion), m_Divided(Divided) {
     for (unsigned I = 0; I < VmsPerRegion * Regions; ++I)
       m_Vms.push_back(makeVm(I));
   }
@@ -106,12 +107,16 @@
     Input.m_Now = m_Now;
     Input.m_TimeToTarget = 1s;
     Input.m_Fleet = &From.m_Fleet;
-    Input.m_SenderFraction = [](const void *FleetState, const Upstream &Target,
-                                unsigned MaxSenders, TimePoint Now) {
-      return static_cast<const Fleet *>(FleetState)
-          ->senderFraction(Target.m_IdHash, Target.m_Registration.m_Region,
-                           MaxSenders, Now);
-    };
+    Input.m_SenderFraction = [](const void *, const Upstream &, unsigned,
+                                TimePoint) { return 1.0; };
+    if (m_Divided)
+      Input.m_SenderFraction = [](const void *FleetState,
+                                  const Upstream &Target, unsigned MaxSenders,
+                                  TimePoint Now) {
+        return static_cast<const Fleet *>(FleetState)
+            ->senderFraction(Target.m_IdHash, Target.m_Registration.m_Region,
+                             MaxSenders, Now);
+      };
     Choice Selected = chooseByKeyLocalFirst(
         Input, From.m_Upstreams, {From.m_Fleet.m_Self.m_Region, {}}, m_Tuning);
     BOOST_REQUIRE(Selected.m_Upstream);
@@ -139,6 +144,7 @@
 
   std::optional<double> m_Limit;
   unsigned m_VmsPerRegion;
+  bool m_Divided;
   TimePoint m_Now = Start + 1s;
   std::vector<std::unique_ptr<Vm>> m_Vms;
   std::vector<TimePoint> m_Arrived;
@@ -172,6 +178,16 @@
     }
 }
 
+// The control of the test above.
+BOOST_AUTO_TEST_CASE(FleetThatDoesNotDivideALimitExceedsIt) {
+  for (unsigned VmsPerRegion : {4U, 15U}) {
+    Random Rng(7, 1);
+    LimitedFleet System(VmsPerRegion, 6.8, false);
+    System.run(12s, 2.0 / VmsPerRegion, Rng);
+    BOOST_TEST(double(System.mostInAWindow()) > allowed(6.8));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RestartsAndChangesOfTheLimitKeepTheBound) {
   rc::check("any order of loads, limits and restarts", [] {
     double Highest = 0;
