--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -571,4 +571,23 @@
   }
 }
 
+// Guards against requests of a killed process that the system goes on
+// delivering: the option is set before anything is sent, so that the system
+// aborts the connection itself.
+BOOST_AUTO_TEST_CASE(EndOfTheProcessAbortsAnUnansweredRequest) {
+  ExchangeRig R;
+  R.upstream("u", echo);
+  UpstreamConnectionPtr Opened;
+  spawn(R.m_Io, [&]() -> awaitable<void> {
+    NetError Error;
+    Opened = co_await R.m_Pool.open(R.m_State.m_Upstreams.find("u"), 1s, Error);
+  });
+  R.m_Io.run_for(std::chrono::milliseconds(50));
+  BOOST_REQUIRE(Opened);
+  asio::socket_base::linger Option;
+  Opened->m_Socket.get_option(Option);
+  BOOST_TEST(Option.enabled());
+  BOOST_TEST(Option.timeout() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
