--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -59,8 +59,9 @@
 }
 
 void ExchangeRig::upstream(const std::string &Id, const Script &Behaviour) {
-  m_Upstreams.emplace_back(m_Io, loopback());
-  Tcp::acceptor &Acceptor = m_Upstreams.back();
+  m_Upstreams.push_back({Id, Tcp::acceptor(m_Io, loopback()), {}});
+  RunningUpstream &Running = m_Upstreams.back();
+  Tcp::acceptor &Acceptor = Running.m_Acceptor;
   UpstreamRegistration Facts;
   Facts.m_Id = Id;
   Facts.m_Service = ServiceName("s");
@@ -68,12 +69,25 @@
   Facts.m_Address =
       "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
   BOOST_REQUIRE(m_State.m_Upstreams.put(Facts, steadyNow()).has_value());
-  acceptEach(m_Io, Acceptor, [this, Behaviour](Tcp::socket Socket) {
+  acceptEach(m_Io, Acceptor, [this, Behaviour, &Running](Tcp::socket Socket) {
     auto Side = std::make_shared<ServerSide>(m_Io, std::move(Socket));
+    Running.m_Connections.push_back(Side);
     spawn(m_Io, [Side, Behaviour]() { return runScript(Side, Behaviour); });
   });
 }
 
+void ExchangeRig::crashUpstream(const std::string &Id) {
+  for (RunningUpstream &Running : m_Upstreams) {
+    if (Running.m_Id != Id)
+      continue;
+    NetError Ignored;
+    Running.m_Acceptor.close(Ignored);
+    for (const std::weak_ptr<ServerSide> &Connection : Running.m_Connections)
+      if (auto Side = Connection.lock())
+        Side->close();
+  }
+}
+
 void ExchangeRig::caller(const std::string &Text, std::size_t Count,
                          std::vector<HttpResponse> &Responses,
                          std::optional<Duration> CloseAfter) {
--- a/tests/support/exchange_rig.h
+++ b/tests/support/exchange_rig.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <list>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -25,6 +26,9 @@
 
   /// \brief Adds an upstream that runs \p Behaviour on every connection.
   void upstream(const std::string &Id, const Script &Behaviour);
+  /// \brief Ends an upstream like a crash of its process: its connections close
+  /// and new ones are refused. It stays registered.
+  void crashUpstream(const std::string &Id);
 
   /// \brief Starts a caller that sends \p Text and reads \p Count responses.
   /// \param CloseAfter If set, the caller closes its connection after this
@@ -49,8 +53,14 @@
                               std::vector<steer::HttpResponse> &Responses,
                               std::optional<Duration> CloseAfter);
 
+  struct RunningUpstream {
+    std::string m_Id;
+    steer::Tcp::acceptor m_Acceptor;
+    std::vector<std::weak_ptr<ServerSide>> m_Connections;
+  };
+
   steer::Tcp::acceptor m_Callers;
-  std::list<steer::Tcp::acceptor> m_Upstreams;
+  std::list<RunningUpstream> m_Upstreams;
   unsigned m_PendingCallers = 0; ///< Callers that still wait for responses.
 };
 
