--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -104,6 +104,44 @@
   BOOST_TEST(!Returned->isUsable());
 }
 
+// Guards against requests to a leaving upstream: its registration lacked the
+// start time when it announced its end, and has it afterwards.
+BOOST_AUTO_TEST_CASE(StartTimeThatBecomesKnownKeepsTheAnnouncement) {
+  TwoRegions System;
+  UpstreamRegistration Registration = System.m_Table.find("l0")->m_Registration;
+  BOOST_REQUIRE(Registration.m_StartedMs == 0);
+  BOOST_TEST(System.m_Table.announceLeaving(runKey(Registration), Start));
+  Registration.m_StartedMs = 5000;
+  (void)System.m_Table.put(Registration, Start);
+  BOOST_TEST(!System.m_Table.find("l0")->isUsable());
+  // The next start is another run.
+  Registration.m_StartedMs = 6000;
+  (void)System.m_Table.put(Registration, Start);
+  BOOST_TEST(System.m_Table.find("l0")->isUsable());
+}
+
+// An upstream that crashes while it leaves returns as another run, under the
+// same identifier, and is used again.
+BOOST_AUTO_TEST_CASE(CrashWhileLeavingEndsTheAnnouncement) {
+  TwoRegions System;
+  UpstreamRegistration Registration = System.m_Table.find("l0")->m_Registration;
+  Registration.m_StartedMs = 5000;
+  (void)System.m_Table.put(Registration, Start);
+  BOOST_TEST(System.m_Table.announceLeaving(runKey(Registration), Start));
+  UpstreamRegistration Next = Registration;
+  Next.m_StartedMs = 9000;
+  (void)System.m_Table.put(Next, Start + 4s);
+  BOOST_TEST(System.m_Table.find("l0")->isUsable());
+  // The announcement of the earlier run travels on among the peers.
+  (void)System.m_Table.announceLeaving(runKey(Registration), Start + 5s);
+  BOOST_TEST(System.m_Table.find("l0")->isUsable());
+  // A peer may know the new run's announcement before its registration.
+  Next.m_StartedMs = 12000;
+  (void)System.m_Table.announceLeaving(runKey(Next), Start + 6s);
+  (void)System.m_Table.put(Next, Start + 7s);
+  BOOST_TEST(!System.m_Table.find("l0")->isUsable());
+}
+
 BOOST_AUTO_TEST_CASE(
     UpstreamThatAnswersOthersIsEjectedOnlyForAHighFailureRate) {
   TwoRegions System;
