Reverted: an announced end is not kept when a start time becomes known

Of the two mistakes, an upstream that is never used again is the worse one, and neither has been seen. The test of a crash while leaving stays.

--- a/src/steer/upstream_table.cpp
+++ b/src/steer/upstream_table.cpp
@@ -112,10 +112,6 @@
     return std::nullopt;
   }
   bool Restarted = Registration.m_StartedMs > Known->m_Registration.m_StartedMs;
-  // A start time that was missing before doesn't make it another run.
-  bool StartBecameKnown = Restarted && Known->m_Registration.m_StartedMs == 0;
-  if (StartBecameKnown && Known->m_AnnouncedLeaving)
-    announceLeaving(Run, Now);
   bool Leaves = Registration.m_Leaving && !Known->m_Registration.m_Leaving;
   if (Registration.m_Address != Known->m_Registration.m_Address)
     Known->m_AddressLost = false;
