--- a/src/core/errors.cpp
+++ b/src/core/errors.cpp
@@ -50,6 +50,8 @@
      "the upstream refused the request without running it"},
     {ErrorKind::UpstreamLost, "upstream-lost", 502, Outcome::Unknown, 1s,
      "no complete, usable answer arrived from the upstream"},
+    {ErrorKind::CrashesUpstreams, "crashes-upstreams", 503, Outcome::NotRun,
+     1min, "upstreams ended each time that they ran this request"},
     {ErrorKind::CallerGone, "caller-gone", 499, Outcome::Unknown, NoRetry,
      "the caller closed its connection"},
     {ErrorKind::Unauthorized, "unauthorized", 401, Outcome::NotRun, NoRetry,
--- a/src/core/errors.h
+++ b/src/core/errors.h
@@ -33,6 +33,7 @@
   UpstreamUnreachable,
   UpstreamShed,
   UpstreamLost,
+  CrashesUpstreams,
   CallerGone,
   Unauthorized,
   BundleRefused,
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -9,7 +9,10 @@
 
 constexpr std::size_t ReadBufferSize = 8192;    // bytes
 constexpr std::size_t MaxReadAhead = 256 << 10; // bytes of one request's body
-constexpr std::size_t MaxPipelined = 64;        // requests of one connection
+/// Bodies that begin with the same bytes have the same digest. Not above the
+/// part of a body that is kept for a retry.
+constexpr std::size_t DigestedBodyBytes = 16 << 10;
+constexpr std::size_t MaxPipelined = 64; // requests of one connection
 /// Requests of one connection with a running handler.
 constexpr std::size_t MaxConcurrent = 16;
 /// Time for the caller to read the last response before the socket closes.
@@ -17,6 +20,19 @@
 /// Time that bytes of a response may stay unacknowledged.
 constexpr Duration UnacknowledgedTimeout = 5s;
 
+/// \brief Sets the digest of a body once its beginning has arrived.
+void digestBody(PendingRequest &Request) {
+  // No byte has been dropped before the digest is set, as more than this is
+  // kept for a retry.
+  if (Request.m_BodyDigest ||
+      !(Request.m_BodyComplete || Request.m_Body.size() >= DigestedBodyBytes))
+    return;
+  std::string_view Beginning =
+      std::string_view(Request.m_Body).substr(0, DigestedBodyBytes);
+  Request.m_BodyDigest =
+      Beginning.empty() ? 0 : std::uint32_t(stableHash(Beginning));
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(asio::io_context &Io, Tcp::socket Socket,
@@ -124,6 +140,7 @@
       m_Parser.body().clear();
       m_ReceivingRequest->m_ParseError = m_Parser.parseError();
       m_ReceivingRequest->m_BodyComplete = m_Parser.done();
+      digestBody(*m_ReceivingRequest);
       m_BodyChanged.notify();
     }
     if (Invalid)
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -12,6 +12,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 
 namespace mustardspoke::steer {
 
@@ -30,6 +31,8 @@
   std::string m_Body;
   std::uint64_t m_DroppedBytes = 0;
   bool m_BodyComplete = false; ///< The whole body has arrived.
+  /// Hash of the beginning of the body; none until enough of it has arrived.
+  std::optional<std::uint32_t> m_BodyDigest;
 
   bool m_HandlerStarted = false; ///< A handler has been started for it.
   bool m_HandlerDone = false;    ///< The handler has returned.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 /// Routing, attempts and final response of one request.
 #include "gateway/exchange.h"
 
+#include "gateway/crash_report.h"
 #include "observe/log.h"
 
 namespace mustardspoke::steer {
@@ -20,6 +21,11 @@
 constexpr unsigned MaxUnsentAttempts = 6;
 /// A retry with less time than this can't be answered before the deadline.
 constexpr Duration MinRetryTime = 60ms;
+/// A request under which so many upstreams have ended isn't sent to another one
+/// for the same caller.
+constexpr unsigned MaxEndedUpstreams = 2;
+/// Reason of refusals of requests that end their upstreams.
+constexpr std::string_view CrashesUpstreams = "crashes-upstreams";
 
 std::string_view refusalName(RefusalReason Reason) {
   switch (Reason) {
@@ -61,6 +67,7 @@
   m_State.m_LastRequest = steadyNow();
   m_Request->m_OnDisconnect = [this] { closeUpstream(); };
   m_Metadata = m_State.m_WireFormat.m_ReadRequestMetadata(m_Request->m_Head);
+  m_HeadDigest = digestHead(m_Request->m_Head, m_Metadata);
   bool Keep = co_await route();
   m_Request->m_OnDisconnect = nullptr;
   m_Timer.cancel();
@@ -126,6 +133,11 @@
   std::vector<const Upstream *> Tried;
   for (const UpstreamPtr &Target : m_Tried)
     Tried.push_back(Target.get());
+  return choose(m_State.m_Strategies.m_Choose, Tried);
+}
+
+Choice Exchange::choose(UpstreamStrategy Strategy,
+                        std::span<const Upstream *const> Excluded) const {
   ChoiceInput Input{*m_Route, m_Routes->findService(m_TargetService),
                     m_TargetService};
   // A request without an affinity key is distributed by its own identifier.
@@ -143,7 +155,7 @@
   auto MeanBytes = m_State.m_MeanResponseBytes.find(m_Route->m_Name);
   if (MeanBytes != m_State.m_MeanResponseBytes.end())
     Input.m_MeanAnswerBytes = std::uint64_t(MeanBytes->second);
-  Input.m_Tried = Tried;
+  Input.m_Tried = Excluded;
   Input.m_Fleet = &m_State.m_Fleet;
   Input.m_SenderFraction = [](const void *FleetState, const Upstream &Target,
                               unsigned MaxSenders, TimePoint Now) {
@@ -151,9 +163,8 @@
         ->senderFraction(Target.m_IdHash, Target.m_Registration.m_Region,
                          MaxSenders, Now);
   };
-  return m_State.m_Strategies.m_Choose(Input, m_State.m_Upstreams,
-                                       m_State.m_Settings.m_Placement,
-                                       m_State.m_Settings.m_Choice);
+  return Strategy(Input, m_State.m_Upstreams, m_State.m_Settings.m_Placement,
+                  m_State.m_Settings.m_Choice);
 }
 
 awaitable<bool> Exchange::runAttempts() {
@@ -161,7 +172,13 @@
   for (unsigned UnsentAttempts = 0; UnsentAttempts < MaxUnsentAttempts;) {
     if (cancelled())
       co_return co_await giveUp(Last, MissingConfigRetryAfter, "deadline");
-    Choice Selected = choose();
+    CrashVerdict Verdict = co_await settledCrashVerdict();
+    if (Verdict == CrashVerdict::Refuse)
+      co_return co_await giveUp(Last, crashRetryAfter(), CrashesUpstreams);
+    if (Verdict == CrashVerdict::Wait)
+      continue; // The exchange is cancelled.
+    bool IsTrial = Verdict == CrashVerdict::Trial;
+    Choice Selected = IsTrial ? chooseForTrial() : choose();
     m_State.m_LocalShares.recordChoice(m_TargetService, Selected);
     if (!Selected.m_Upstream) {
       m_Choice.m_IsLocalKey = Selected.m_IsLocalKey;
@@ -175,7 +192,7 @@
     m_Choice = Selected;
     UpstreamPtr Target = m_Choice.m_Upstream;
     m_Tried.push_back(Target);
-    Last = co_await attempt(Target);
+    Last = co_await attempt(Target, IsTrial);
     switch (Last) {
     case AttemptResult::Delivered:
       co_return !m_ClosesConnection;
@@ -188,7 +205,7 @@
     case AttemptResult::NotRun:
     case AttemptResult::Failed:
     case AttemptResult::Lost:
-      if (cancelled() || !mayRetry(Last))
+      if (cancelled() || IsTrial || !mayRetry(Last))
         co_return co_await giveUp(Last, 200ms, "attempts");
     }
   }
@@ -198,6 +215,8 @@
 bool Exchange::mayRetry(AttemptResult Result) {
   if (Result != AttemptResult::NotRun && !m_Route->idempotent())
     return false;
+  if (m_EndedUpstreams >= MaxEndedUpstreams)
+    return false;
   if (m_BodyDropped || m_SentAttempts >= m_Route->m_MaxAttempts ||
       remaining() < MinRetryTime)
     return false;
@@ -218,6 +237,8 @@
     co_return co_await refuse(m_TimedOut ? ErrorKind::DeadlineAfterSend
                                          : ErrorKind::UpstreamLost,
                               Duration::zero(), Reason);
+  if (Reason == CrashesUpstreams)
+    co_return co_await refuse(ErrorKind::CrashesUpstreams, RetryAfter, Reason);
   co_return co_await refuse(Last == AttemptResult::NotRun
                                 ? ErrorKind::UpstreamShed
                                 : ErrorKind::NoCapacity,
@@ -281,6 +302,8 @@
        {"routes", std::to_string(m_Routes ? m_Routes->m_Version : 0)},
        {"service", m_TargetService.str()},
        {"key", m_Metadata.m_AffinityKey},
+       {"request",
+        Reason == CrashesUpstreams ? formatFingerprint(*fingerprint()) : ""},
        {"upstreams", UpstreamIds},
        {"region",
         m_Tried.empty() ? "" : m_Tried.back()->m_Registration.m_Region.str()},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -57,12 +57,35 @@
   awaitable<void> waitForFirstRead();
   awaitable<bool> runAttempts();
   [[nodiscard]] Choice choose() const;
+  /// \param Excluded Upstreams that aren't selected.
+  [[nodiscard]] Choice choose(UpstreamStrategy Strategy,
+                              std::span<const Upstream *const> Excluded) const;
   /// \brief Whether another upstream may be tried after \p Result.
   [[nodiscard]] bool mayRetry(AttemptResult Result);
   awaitable<bool> giveUp(AttemptResult Last, Duration RetryAfter,
                          std::string_view Reason);
 
-  awaitable<AttemptResult> attempt(UpstreamPtr Target);
+  /// \returns Nothing until enough of the body has arrived.
+  [[nodiscard]] std::optional<RequestFingerprint> fingerprint() const;
+  awaitable<void> waitForFingerprint();
+  [[nodiscard]] CrashVerdict crashVerdict() const;
+  /// \brief The verdict once checks of upstreams have ended; never Wait, but if
+  /// the exchange is cancelled.
+  awaitable<CrashVerdict> settledCrashVerdict();
+  /// \brief When a caller whose request isn't sent may return.
+  [[nodiscard]] Duration crashRetryAfter() const;
+  [[nodiscard]] Choice chooseForTrial() const;
+  /// \brief The last check before a request is sent: others may have sent it,
+  /// or more upstreams may have ended, since the upstream was chosen.
+  [[nodiscard]] bool claimSend(bool ChosenForTrial);
+  /// \brief Notes that an attempt got no complete answer, if the upstream
+  /// closed the connection.
+  awaitable<void> recordLostConnection(UpstreamPtr Target);
+  /// \brief Notes that an upstream has run the request and answered.
+  void recordUpstreamAnswer(const HttpHead &Response);
+
+  /// \param IsTrial See CrashVerdict::Trial.
+  awaitable<AttemptResult> attempt(UpstreamPtr Target, bool IsTrial);
   awaitable<UpstreamConnectionPtr> connect(UpstreamPtr Target);
   [[nodiscard]] std::string requestHead(const Upstream &Target) const;
   awaitable<bool> sendRequest(UpstreamPtr Target);
@@ -103,6 +126,9 @@
   CallerConnectionPtr m_Caller;
   PendingRequestPtr m_Request;
   RequestMetadata m_Metadata;
+  std::uint32_t m_HeadDigest = 0; ///< Of everything but the body.
+  /// Attempts whose connection an upstream closed without an answer.
+  unsigned m_EndedUpstreams = 0;
   RouteTablePtr m_Routes;         ///< Version that the request is served under.
   const Route *m_Route = nullptr; ///< Points into m_Routes.
   ServiceName m_TargetService;
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -248,7 +248,7 @@
   m_Connection.reset();
 }
 
-awaitable<AttemptResult> Exchange::attempt(UpstreamPtr Target) {
+awaitable<AttemptResult> Exchange::attempt(UpstreamPtr Target, bool IsTrial) {
   m_InFlightGuard.emplace(Target);
   m_Connection = co_await connect(Target);
   if (!m_Connection) {
@@ -263,13 +263,16 @@
              {{"id", m_Metadata.m_RequestId},
               {"upstream", Target->m_Registration.m_Id},
               {"why", std::string(exclusionName(Excluded))}});
-  if (cancelled() || Excluded != Exclusion::None) {
+  bool Withheld =
+      cancelled() || Excluded != Exclusion::None || !claimSend(IsTrial);
+  if (Withheld) {
     if (m_Connection->m_Reused)
       m_Pool.release(*Target, m_Connection, steadyNow());
     m_Connection.reset();
     m_InFlightGuard.reset();
     co_return AttemptResult::NotSent;
   }
+  m_ReadError = {};
   AttemptResult Result = lostAttempt("send-failed");
   if (co_await sendRequest(Target))
     Result = co_await readResponse(Target);
@@ -281,6 +284,8 @@
   m_Connection.reset();
   m_InFlightGuard.reset();
   m_BodyDropped = m_Request->m_DroppedBytes > 0;
+  if (Result == AttemptResult::Lost || Result == AttemptResult::Aborted)
+    co_await recordLostConnection(Target);
   if (Result == AttemptResult::Lost || Result == AttemptResult::Failed)
     m_MayHaveRun = true;
   if (Result == AttemptResult::Lost && !m_Caller->disconnected()) {
@@ -348,6 +353,7 @@
   unsigned Status = Parser.head().m_Status;
   if (!Parser.done())
     co_return co_await streamResponse(Target, Parser);
+  recordUpstreamAnswer(Parser.head());
   releaseConnection(*Target, Parser);
   // The response may wait long until it may be sent to the caller.
   m_InFlightGuard.reset();
@@ -437,6 +443,7 @@
       co_return AttemptResult::Aborted;
     }
   }
+  recordUpstreamAnswer(UpstreamHead);
   record(ErrorKind::None, UpstreamHead.m_Status, "streamed");
   co_return AttemptResult::Delivered;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 /// Listeners, signals, settings reload and shutdown of the gateway process.
 #include "gateway/gateway.h"
 
+#include "gateway/crash_report.h"
 #include "gateway/exchange.h"
 #include "gateway/limit_report.h"
 #include "gateway/peers.h"
@@ -146,7 +147,8 @@
       200, "text/plain",
       m_State.m_Metrics.exposition() + m_Replica.exposition() +
           shareExposition(m_State.m_LocalShares) +
-          limitExposition(m_State.m_Upstreams, steadyNow()));
+          limitExposition(m_State.m_Upstreams, steadyNow()) +
+          crashExposition(m_State.m_CrashSuspects));
 }
 
 std::string Gateway::notFoundPage(const HttpHead & /*Head*/) {
@@ -355,6 +357,11 @@
        {"peers", Settings.m_PeerAddress},
        {"incarnation", std::to_string(m_State.m_Fleet.m_Self.m_Incarnation)}});
   armSignals();
+  m_State.m_OnCrashConfirmed = [this](RequestFingerprint Request) {
+    asio::co_spawn(
+        m_Io, [this, Request]() { return m_Replica.publishCrashRow(Request); },
+        asio::detached);
+  };
   m_Replica.start();
   asio::co_spawn(
       m_Io, [this]() { return m_Replica.publishDiscoveryRow(); },
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -2,6 +2,7 @@
 /// Sockets of the inner protocol.
 #include "gateway/peers.h"
 
+#include "gateway/crash_report.h"
 #include "gateway/limit_report.h"
 #include "observe/log.h"
 
@@ -17,11 +18,15 @@
 constexpr Duration IntervalPerPeer = 8ms;
 /// Every n-th heartbeat contains the sender's names and addresses.
 constexpr unsigned FullHeartbeatInterval = 8;
+/// Every n-th heartbeat goes to the seeds as well, without the store.
+constexpr unsigned SeedContactInterval = 5;
 constexpr std::size_t MaxDatagramSize = 60000;  // bytes
 constexpr std::size_t MaxRowsMessage = 8 << 20; // bytes
 /// Peer addresses in one heartbeat.
 constexpr std::size_t MaxPeerAddresses = 8;
 constexpr Duration FetchTimeout = 2s;
+/// News that arrive within this time are sent together.
+constexpr Duration NewsDelay = 10ms;
 /// Minimum time between fetches, so that a series of changes takes few
 /// messages.
 constexpr Duration MinFetchInterval = 250ms;
@@ -70,6 +75,7 @@
     m_Acceptor.listen(asio::socket_base::max_listen_connections, Error);
   if (Error)
     return Error;
+  m_State.m_OnCrashNews = [this] { sendNewsSoon(); };
   asio::co_spawn(
       m_State.m_Io, [this]() { return receiveLoop(); }, asio::detached);
   asio::co_spawn(
@@ -99,6 +105,8 @@
   Result.m_AnnouncedRuns = m_State.m_Upstreams.recentAnnouncements(steadyNow());
   Result.m_RemovedRuns = m_State.m_Upstreams.recentRemovals(steadyNow());
   Result.m_Limits = limitsToSend(m_State.m_Upstreams, steadyNow());
+  Result.m_Crashes =
+      m_State.m_CrashSuspects.reportsToSend(steadyNow(), m_Round);
   bool AllUpstreams = Region == m_State.m_Settings.m_Placement.m_Region ||
                       m_State.m_Fleet.isSmall();
   Result.m_PeerAges = m_State.m_Fleet.agesToSend(steadyNow(), m_Round);
@@ -146,22 +154,45 @@
     send(Heartbeats.bytesFor(Peer.m_Region, false), Peer.m_PeerAddress);
 }
 
+void PeerService::sendNewsSoon() {
+  if (std::exchange(m_NewsPending, true))
+    return;
+  asio::co_spawn(
+      m_State.m_Io, [this]() { return sendNews(); }, asio::detached);
+}
+
+awaitable<void> PeerService::sendNews() {
+  co_await sleepFor(m_State.m_Io, NewsDelay);
+  m_NewsPending = false;
+  if (m_State.m_Fleet.isSmall())
+    broadcastHeartbeat();
+  else
+    (void)sendHeartbeats();
+}
+
+std::vector<Fleet::Recipient> PeerService::sendHeartbeats() {
+  HeartbeatCache Heartbeats(*this);
+  std::vector<Fleet::Recipient> Peers = m_State.m_Fleet.nextRecipients(
+      m_Round, steadyNow(), m_State.m_InFlight > 0);
+  for (const Fleet::Recipient &Peer : Peers) {
+    bool Brief = !Peer.m_FirstContact && m_Round % FullHeartbeatInterval != 0;
+    send(Heartbeats.bytesFor(Peer.m_State.m_Region, Brief),
+         Peer.m_State.m_PeerAddress);
+  }
+  ++m_Round;
+  return Peers;
+}
+
 awaitable<void> PeerService::heartbeatLoop() {
   const std::string &OwnAddress = m_State.m_Settings.m_PeerAddress;
   std::string Port = OwnAddress.substr(OwnAddress.rfind(':'));
   for (;;) {
     const RegionName &LocalRegion = m_State.m_Settings.m_Placement.m_Region;
-    HeartbeatCache Heartbeats(*this);
-    std::vector<Fleet::Recipient> Peers = m_State.m_Fleet.nextRecipients(
-        m_Round, steadyNow(), m_State.m_InFlight > 0);
-    for (const Fleet::Recipient &Peer : Peers) {
-      bool Brief = !Peer.m_FirstContact && m_Round % FullHeartbeatInterval != 0;
-      send(Heartbeats.bytesFor(Peer.m_State.m_Region, Brief),
-           Peer.m_State.m_PeerAddress);
-    }
+    bool ContactsSeeds = m_Round % SeedContactInterval == 0;
+    std::vector<Fleet::Recipient> Peers = sendHeartbeats();
     // Without the store, peers are found only through the seeds and the
     // addresses that they name.
-    if (!m_Replica.storeReachable() && m_Round % 5 == 0) {
+    if (!m_Replica.storeReachable() && ContactsSeeds) {
       Heartbeat OwnState = ownHeartbeat(LocalRegion);
       for (const Fleet::Recipient &Peer : Peers)
         if (OwnState.m_KnownPeerAddresses.size() < MaxPeerAddresses)
@@ -171,7 +202,6 @@
         if (Ip + Port != OwnAddress)
           send(Bytes, Ip + Port);
     }
-    ++m_Round;
     Duration Interval = heartbeatInterval();
     co_await sleepFor(m_State.m_Io, Interval);
     TimePoint Now = steadyNow();
@@ -241,6 +271,8 @@
                                Heartbeat.m_Sender.m_Vm);
   applyPeerLimits(m_State.m_Upstreams, Heartbeat.m_Limits,
                   Heartbeat.m_Sender.m_Vm, Now);
+  applyCrashReports(m_State, Heartbeat.m_Crashes,
+                    Heartbeat.m_Sender.m_Vm.str());
   for (const PeerAge &Age : Heartbeat.m_PeerAges)
     m_State.m_Fleet.receivedAge(Age, Now);
   m_State.m_Fleet.setPeerLoads(Heartbeat.m_Sender.m_Vm,
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -36,6 +36,12 @@
   };
 
   awaitable<void> receiveLoop();
+  /// \brief Sends the heartbeats of one round. \returns The recipients.
+  std::vector<Fleet::Recipient> sendHeartbeats();
+  /// \brief Sends heartbeats before the next round is due, for news of requests
+  /// that end upstreams.
+  void sendNewsSoon();
+  awaitable<void> sendNews();
   awaitable<void> heartbeatLoop();
   awaitable<void> serveRows();
   awaitable<void> serveRowsRequest(std::shared_ptr<Tcp::socket> Peer);
@@ -59,7 +65,8 @@
   Udp::socket m_Socket;
   Tcp::acceptor m_Acceptor;
   unsigned m_Round = 0;
-  bool m_Fetching = false; ///< At most one fetch of rows runs at a time.
+  bool m_NewsPending = false; ///< sendNews() is about to run.
+  bool m_Fetching = false;    ///< At most one fetch of rows runs at a time.
   TimePoint m_LastFetchAt{};
   ShareLog m_ShareLog;
 };
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -9,7 +9,9 @@
 #include "observe/metrics.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <set>
 
 namespace mustardspoke::steer {
 
@@ -59,6 +61,13 @@
   std::map<ServiceName, RetryBudget> m_RetryBudgets;
   /// For callers refused because all upstreams of the service are limited.
   std::map<ServiceName, ReturnSchedule> m_LimitedReturns;
+  CrashSuspects m_CrashSuspects;
+  /// Runs of upstreams that are being checked for their end.
+  std::set<UpstreamRunKey> m_EndChecks;
+  /// Called with each request that is confirmed by an end seen by this VM.
+  std::function<void(RequestFingerprint)> m_OnCrashConfirmed;
+  /// Called when peers should soon hear of requests that end upstreams.
+  std::function<void()> m_OnCrashNews;
   /// Running mean of the response size of each route in bytes, by route name.
   std::map<std::string, double> m_MeanResponseBytes;
 
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -61,6 +61,11 @@
   /// \brief Metrics of the replica in the Prometheus text exposition format.
   [[nodiscard]] std::string exposition() const;
 
+  /// \brief Writes the row of a request that is confirmed to end its upstreams,
+  /// unless a VM has done so. VMs that start learn of it, also if no other one
+  /// is left.
+  awaitable<void> publishCrashRow(RequestFingerprint Request);
+
   /// \brief Writes this VM's discovery row, or removes it.
   awaitable<void> publishDiscoveryRow();
   awaitable<void> removeDiscoveryRow();
@@ -102,6 +107,9 @@
   void applyEvacuations();
   void applyUpstreamRow(const StoreRow &Row, bool Tentative);
   void applyVmRow(const StoreRow &Row);
+  void applyCrashRow(const StoreRow &Row);
+  /// \brief Keys of the rows of crashing requests, oldest first.
+  [[nodiscard]] std::vector<std::string> crashRowKeys() const;
   /// \brief Whether the row's upstream has a delayed removal.
   [[nodiscard]] bool isInDoubt(const StoreRow &Row) const;
   void removeUpstream(const std::string &Id);
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -2,6 +2,7 @@
 /// Applying rows to the gateway's state, and relaying rows between VMs.
 #include "gateway/store_replica.h"
 
+#include "gateway/crash_report.h"
 #include "observe/log.h"
 
 #include <algorithm>
@@ -145,9 +146,13 @@
   }
   if (isInDoubt(Row))
     logUpstreamChange({{"upstream", Row.m_Key}, {"change", "returned"}});
+  UpstreamPtr Before = m_State.m_Upstreams.find(Row.m_Key);
+  UpstreamRunKey RunBefore = Before ? runKey(Before->m_Registration) : 0;
   auto Change = m_State.m_Upstreams.put(*Decoded.m_Facts, steadyNow());
   if (!Change)
     return;
+  if (Change->m_Kind == UpstreamChange::Kind::Restarted)
+    confirmEnd(m_State, RunBefore, Row.m_Key);
   using Kind = UpstreamChange::Kind;
   constexpr const char *Names[] = {"added", "changed", "leaving", "removed",
                                    "reborn"};
@@ -176,6 +181,9 @@
     return;
   m_Pool.closeIdle(*Change->m_Upstream);
   logUpstreamChange({{"upstream", Id}, {"change", "removed"}});
+  const Upstream &Removed = *Change->m_Upstream;
+  if (!Removed.m_AnnouncedLeaving && !Removed.m_Registration.m_Leaving)
+    confirmEnd(m_State, runKey(Removed.m_Registration), Id);
 }
 
 awaitable<void> StoreReplica::removeUpstreamLater(std::string Id,
@@ -215,6 +223,8 @@
 }
 
 void StoreReplica::applyVmRow(const StoreRow &Row) {
+  if (Row.m_Key.starts_with(CrashRowPrefix))
+    return applyCrashRow(Row);
   VmName Vm(Row.m_Key);
   if (Row.m_Removed) {
     // A live VM writes its row again in a new era of the store.
@@ -239,6 +249,21 @@
   m_State.m_Fleet.addPeer(Peer);
 }
 
+void StoreReplica::applyCrashRow(const StoreRow &Row) {
+  auto Request = parseFingerprint(
+      std::string_view(Row.m_Key).substr(CrashRowPrefix.size()));
+  std::string Error = "key: expected hexadecimal digits";
+  std::optional<CrashReport> Report;
+  if (Request && !Row.m_Removed)
+    Report = parseCrashRow(*Request, Row.m_Value, Error);
+  if (Report)
+    return applyCrashReports(m_State, {&*Report, 1}, "store");
+  // A row that is removed may have made room for a newer one.
+  if (!Row.m_Removed)
+    logEvent(LogLevel::Warning, "crash-row-unreadable",
+             {{"row", Row.m_Key}, {"cause", Error}});
+}
+
 std::vector<std::string> StoreReplica::tableNames() const {
   const StoreTables &Tables = m_State.m_Decoder.m_Tables;
   return {Tables.m_Operators, Tables.m_Upstreams, Tables.m_Vms};
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -17,6 +17,8 @@
   std::string m_RequestId; ///< Empty if the request has none.
   /// Object that the request concerns; may be empty.
   std::string m_AffinityKey;
+  /// What tells the caller from others; empty if callers don't say.
+  std::string m_CallerCredential;
   /// Time that the caller waits for the response.
   std::optional<Duration> m_CallerTimeout;
 };
--- a/src/inner/heartbeat.capnp
+++ b/src/inner/heartbeat.capnp
@@ -24,6 +24,19 @@
   ageMillis @3 :UInt32; # since the answered request was sent
 }
 
+# What the sender knows of a request under which upstreams ended.
+struct CrashReport {
+  request @0 :UInt64;           # hash of what makes two requests the same
+  endedRuns @1 :List(UInt64);   # upstreams: hash of identifier and start time
+  endAgeMillis @2 :List(UInt32);
+  isAnswered @3 :Bool;          # whether answerAgeMillis is set
+  answerAgeMillis @4 :UInt32;   # since an upstream last answered it
+  isTried @5 :Bool;             # whether trialAgeMillis is set
+  trialAgeMillis @6 :UInt32;    # since its newest trial
+  lateTrials @7 :UInt8;
+  seenAgeMillis @8 :UInt32;     # since it last arrived at a VM
+}
+
 struct Heartbeat {
   vm @0 :Text;
   incarnation @1 :UInt64;
@@ -61,6 +74,7 @@
   announcedRuns @20 :List(UInt64);
   removedRuns @21 :List(UInt64);
   limits @22 :List(UpstreamLimit);
+  crashes @23 :List(CrashReport);
 }
 
 # Asks for the rows that changed after the given version of each table. An empty
--- a/src/inner/heartbeat.capnp.h
+++ b/src/inner/heartbeat.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(96f44ce3c43727b6);
 CAPNP_DECLARE_SCHEMA(dedb8dd8efeb3edf);
 CAPNP_DECLARE_SCHEMA(c9aeda48b7ba50c0);
+CAPNP_DECLARE_SCHEMA(911edd6d5db48612);
 CAPNP_DECLARE_SCHEMA(85e556a46b20eb6a);
 CAPNP_DECLARE_SCHEMA(cd42bf6f3d857bd1);
 CAPNP_DECLARE_SCHEMA(a001cd27c72c9d70);
@@ -75,6 +76,21 @@
   };
 };
 
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(911edd6d5db48612, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Heartbeat {
   Heartbeat() = delete;
 
@@ -83,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85e556a46b20eb6a, 5, 15)
+    CAPNP_DECLARE_STRUCT_HEADER(85e556a46b20eb6a, 5, 16)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -395,6 +411,134 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline bool hasEndedRuns() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEndedRuns() const;
+
+  inline bool hasEndAgeMillis() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getEndAgeMillis() const;
+
+  inline bool getIsAnswered() const;
+
+  inline  ::uint32_t getAnswerAgeMillis() const;
+
+  inline bool getIsTried() const;
+
+  inline  ::uint32_t getTrialAgeMillis() const;
+
+  inline  ::uint8_t getLateTrials() const;
+
+  inline  ::uint32_t getSeenAgeMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline bool hasEndedRuns();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getEndedRuns();
+  inline void setEndedRuns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEndedRuns(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initEndedRuns(unsigned int size);
+  inline void adoptEndedRuns(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEndedRuns();
+
+  inline bool hasEndAgeMillis();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getEndAgeMillis();
+  inline void setEndAgeMillis( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEndAgeMillis(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initEndAgeMillis(unsigned int size);
+  inline void adoptEndAgeMillis(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownEndAgeMillis();
+
+  inline bool getIsAnswered();
+  inline void setIsAnswered(bool value);
+
+  inline  ::uint32_t getAnswerAgeMillis();
+  inline void setAnswerAgeMillis( ::uint32_t value);
+
+  inline bool getIsTried();
+  inline void setIsTried(bool value);
+
+  inline  ::uint32_t getTrialAgeMillis();
+  inline void setTrialAgeMillis( ::uint32_t value);
+
+  inline  ::uint8_t getLateTrials();
+  inline void setLateTrials( ::uint8_t value);
+
+  inline  ::uint32_t getSeenAgeMillis();
+  inline void setSeenAgeMillis( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Heartbeat::Reader {
 public:
   typedef Heartbeat Reads;
@@ -473,6 +617,9 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -637,6 +784,13 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::UpstreamLimit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1086,6 +1240,180 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t CrashReport::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasEndedRuns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasEndedRuns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getEndedRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getEndedRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setEndedRuns( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setEndedRuns(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initEndedRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptEndedRuns(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownEndedRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::hasEndAgeMillis() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasEndAgeMillis() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getEndAgeMillis() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getEndAgeMillis() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setEndAgeMillis( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setEndAgeMillis(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initEndAgeMillis(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptEndAgeMillis(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownEndAgeMillis() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::getIsAnswered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getIsAnswered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setIsAnswered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashReport::Reader::getAnswerAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getAnswerAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAnswerAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::getIsTried() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getIsTried() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setIsTried(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashReport::Reader::getTrialAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getTrialAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setTrialAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t CrashReport::Reader::getLateTrials() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t CrashReport::Builder::getLateTrials() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setLateTrials( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashReport::Reader::getSeenAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getSeenAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setSeenAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Heartbeat::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1736,6 +2064,40 @@
       ::capnp::bounded<14>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setCrashes( ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+
 inline bool RowsRequest::Reader::hasAfterVersions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/inner/heartbeat_codec.cpp
+++ b/src/inner/heartbeat_codec.cpp
@@ -20,7 +20,8 @@
 constexpr double LoadUnitsPerRequest = 10; ///< Loads are encoded in tenths.
 constexpr unsigned LoadBits = 8;           ///< Of a word of compactLoads.
 constexpr std::uint32_t MaxLoadUnits = (1U << LoadBits) - 1;
-constexpr Duration AgeUnit = 100ms; ///< Ages are rounded up to this.
+constexpr std::int64_t MaxMillis = 0xffffffff; ///< Of an encoded age.
+constexpr Duration AgeUnit = 100ms;            ///< Ages are rounded up to this.
 
 std::string toString(capnp::Text::Reader Text) {
   return {Text.begin(), Text.size()};
@@ -89,6 +90,49 @@
     List.set(I, encodePeerAge(Ages[I]));
 }
 
+Duration fromMillis(std::uint32_t Millis) {
+  return std::chrono::milliseconds(Millis);
+}
+
+std::uint32_t toMillisField(Duration Age) {
+  return std::uint32_t(std::clamp<std::int64_t>(toMillis(Age), 0, MaxMillis));
+}
+
+CrashReport decodeCrashReport(inner::CrashReport::Reader Message) {
+  CrashReport Result;
+  Result.m_Request = Message.getRequest();
+  auto Runs = Message.getEndedRuns();
+  auto Ages = Message.getEndAgeMillis();
+  for (unsigned I = 0; I < std::min(Runs.size(), Ages.size()); ++I)
+    Result.m_Ends.push_back({Runs[I], fromMillis(Ages[I])});
+  if (Message.getIsAnswered())
+    Result.m_AnswerAge = fromMillis(Message.getAnswerAgeMillis());
+  if (Message.getIsTried())
+    Result.m_TrialAge = fromMillis(Message.getTrialAgeMillis());
+  Result.m_LateTrials = Message.getLateTrials();
+  Result.m_SeenAge = fromMillis(Message.getSeenAgeMillis());
+  return Result;
+}
+
+void encodeCrashReport(inner::CrashReport::Builder Message,
+                       const CrashReport &Report) {
+  Message.setRequest(Report.m_Request);
+  auto Runs = Message.initEndedRuns(unsigned(Report.m_Ends.size()));
+  auto Ages = Message.initEndAgeMillis(unsigned(Report.m_Ends.size()));
+  for (unsigned I = 0; I < Runs.size(); ++I) {
+    Runs.set(I, Report.m_Ends[I].m_Run);
+    Ages.set(I, toMillisField(Report.m_Ends[I].m_Age));
+  }
+  Message.setIsAnswered(Report.m_AnswerAge.has_value());
+  Message.setAnswerAgeMillis(
+      toMillisField(Report.m_AnswerAge.value_or(Duration())));
+  Message.setIsTried(Report.m_TrialAge.has_value());
+  Message.setTrialAgeMillis(
+      toMillisField(Report.m_TrialAge.value_or(Duration())));
+  Message.setLateTrials(std::uint8_t(Report.m_LateTrials));
+  Message.setSeenAgeMillis(toMillisField(Report.m_SeenAge));
+}
+
 Heartbeat toHeartbeat(inner::Heartbeat::Reader Message) {
   Heartbeat Result;
   Result.m_Sender.m_Vm = VmName(toString(Message.getVm()));
@@ -130,6 +174,8 @@
       Added.m_Rate = Rate;
     Added.m_Age = std::chrono::milliseconds(Limit.getAgeMillis());
   }
+  for (auto Report : Message.getCrashes())
+    Result.m_Crashes.push_back(decodeCrashReport(Report));
   for (auto Address : Message.getKnownPeerAddresses())
     Result.m_KnownPeerAddresses.push_back(toString(Address));
   return Result;
@@ -209,6 +255,9 @@
     Limits[I].setPerSecond(float(Limit.m_Rate.value_or(0)));
     Limits[I].setAgeMillis(std::uint32_t(toMillis(Limit.m_Age)));
   }
+  auto Crashes = Root.initCrashes(unsigned(Message.m_Crashes.size()));
+  for (unsigned I = 0; I < Crashes.size(); ++I)
+    encodeCrashReport(Crashes[I], Message.m_Crashes[I]);
   auto Loads = Root.initCompactLoads(unsigned(Message.m_UpstreamLoads.size()));
   for (unsigned I = 0; I < Loads.size(); ++I) {
     const PeerLoad &Load = Message.m_UpstreamLoads[I];
--- a/src/inner/heartbeat_codec.h
+++ b/src/inner/heartbeat_codec.h
@@ -2,6 +2,7 @@
 /// Encoding of heartbeats and relayed store rows between entry VMs.
 #pragma once
 
+#include "steer/crash_suspects.h"
 #include "steer/fleet.h"
 #include "steer/store_row.h"
 
@@ -49,6 +50,7 @@
   /// Upstreams whose registrations the sender lately removed.
   std::vector<UpstreamRunKey> m_RemovedRuns;
   std::vector<PeerLimit> m_Limits;
+  std::vector<CrashReport> m_Crashes;
 };
 
 [[nodiscard]] std::string encodeHeartbeat(const Heartbeat &Message);
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -260,6 +260,15 @@
   return HigherRanked < Senders ? 1.0 / Senders : 0;
 }
 
+unsigned Fleet::turnOf(std::uint64_t Hash, TimePoint Now) const {
+  std::uint64_t OwnRank = stableHash(m_Self.m_Vm.str(), Hash);
+  return unsigned(std::ranges::count_if(m_Peers, [&](const auto &Entry) {
+    const EntryVm &Vm = Entry.second.m_State;
+    return isLive(Entry.second, Now) && Vm.m_Ready && !Vm.m_Leaving &&
+           stableHash(Entry.first.str(), Hash) > OwnRank;
+  }));
+}
+
 bool Fleet::mustFollowStore(TimePoint Now, bool Follows) const {
   std::uint32_t OwnRank = shortHash(m_Self.m_Vm);
   auto CountReaders = [&](Duration MaxAge, bool HigherRankedOnly) {
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -194,6 +194,10 @@
                                       const RegionName &Region,
                                       unsigned MaxSenders, TimePoint Now) const;
 
+  /// \brief Number of live VMs that take callers and come before this one in
+  /// an order that depends on \p Hash and is the same on all VMs.
+  [[nodiscard]] unsigned turnOf(std::uint64_t Hash, TimePoint Now) const;
+
   /// \brief Whether this VM must read the store itself, because too few other
   /// VMs of its region do.
   /// \param Follows Whether it does now. In a large fleet, a reader stays one
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "steer/choice.h"
+#include "steer/crash_suspects.h"
 #include "steer/fleet.h"
 #include "steer/local_share.h"
 #include "steer/rate_limit.h"
