--- a/src/gateway/crash_report.cpp
+++ b/src/gateway/crash_report.cpp
@@ -174,7 +174,8 @@
            " " + std::to_string(Value) + "\n";
   };
   return Gauge("mustardspoke_suspected_requests", Suspects.size()) +
-         Gauge("mustardspoke_crashing_requests", Suspects.confirmedCount());
+         Gauge("mustardspoke_crashing_requests",
+               Suspects.confirmedRequests().size());
 }
 
 } // namespace mustardspoke::steer
--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -3,7 +3,6 @@
 /// discovery row.
 #include "gateway/store_replica.h"
 
-#include "gateway/crash_report.h"
 #include "observe/log.h"
 
 #include <algorithm>
@@ -38,11 +37,6 @@
 constexpr Duration RestoreSpreadPerVm = 10ms;
 /// Delay between two feed calls, so that a series of changes takes few calls.
 constexpr Duration MinFeedInterval = 250ms;
-/// Rows of crashing requests in the store; the oldest one makes room.
-constexpr std::size_t MaxCrashRows = 64;
-/// An outage of the store that lasts for longer leaves the row unwritten.
-constexpr unsigned MaxCrashRowWrites = 200;
-
 Json discoveryRowValue(const EntryVm &Self) {
   Json Value = Json::object();
   Value.set("incarnation", Json(Self.m_Incarnation));
@@ -144,6 +138,7 @@
                      discoveryRowValue(m_State.m_Fleet.m_Self).toText();
   if (!Current && !m_State.m_Leaving)
     co_await publishDiscoveryRow();
+  co_await restoreCrashRows();
 }
 
 bool StoreReplica::storeJustReturned() const {
@@ -285,51 +280,6 @@
   }
 }
 
-std::vector<std::string> StoreReplica::crashRowKeys() const {
-  std::vector<std::pair<std::uint64_t, std::string>> ByVersion;
-  auto Rows = m_RowCaches.find(m_State.m_Decoder.m_Tables.m_Vms);
-  if (Rows == m_RowCaches.end())
-    return {};
-  for (const auto &[Key, Row] : Rows->second.rows())
-    if (!Row.m_Removed && Key.starts_with(CrashRowPrefix))
-      ByVersion.emplace_back(Row.m_Version, Key);
-  std::ranges::sort(ByVersion);
-  std::vector<std::string> Keys;
-  for (auto &[Version, Key] : ByVersion)
-    Keys.push_back(std::move(Key));
-  return Keys;
-}
-
-awaitable<void> StoreReplica::publishCrashRow(RequestFingerprint Request) {
-  StoreWrite Write;
-  Write.m_Row.m_Table = m_State.m_Decoder.m_Tables.m_Vms;
-  Write.m_Row.m_Key = std::string(CrashRowPrefix) + formatFingerprint(Request);
-  std::vector<std::string> Known = crashRowKeys();
-  if (std::ranges::find(Known, Write.m_Row.m_Key) != Known.end())
-    co_return;
-  if (Known.size() >= MaxCrashRows) {
-    StoreWrite Oldest;
-    Oldest.m_Row.m_Table = Write.m_Row.m_Table;
-    Oldest.m_Row.m_Key = Known.front();
-    Oldest.m_Row.m_Removed = true;
-    noteStoreResult(co_await m_Store.write(Oldest), "crash row, oldest");
-  }
-  Write.m_Row.m_Value =
-      crashRowValue(m_State.m_CrashSuspects.report(Request, steadyNow()));
-  Write.m_Expected = 0;
-  for (unsigned I = 0; I < MaxCrashRowWrites && !m_State.m_Leaving; ++I) {
-    StoreResult Result = co_await m_Store.write(Write);
-    noteStoreResult(Result, "crash row");
-    // A conflict means that another VM has written it.
-    if (Result.m_CallStatus == StoreCallStatus::Done ||
-        Result.m_CallStatus == StoreCallStatus::Conflict)
-      co_return;
-    co_await sleepFor(m_State.m_Io, RetryDelay);
-  }
-  logEvent(LogLevel::Warning, "crash-row-not-written",
-           {{"request", formatFingerprint(Request)}});
-}
-
 awaitable<void> StoreReplica::removeDiscoveryRow() {
   StoreWrite Write;
   Write.m_Row.m_Table = m_State.m_Decoder.m_Tables.m_Vms;
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -108,6 +108,9 @@
   void applyUpstreamRow(const StoreRow &Row, bool Tentative);
   void applyVmRow(const StoreRow &Row);
   void applyCrashRow(const StoreRow &Row);
+  /// \brief Writes the rows of crashing requests that the store's new era
+  /// lacks.
+  awaitable<void> restoreCrashRows();
   /// \brief Keys of the rows of crashing requests, oldest first.
   [[nodiscard]] std::vector<std::string> crashRowKeys() const;
   /// \brief Whether the row's upstream has a delayed removal.
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -249,21 +249,6 @@
   m_State.m_Fleet.addPeer(Peer);
 }
 
-void StoreReplica::applyCrashRow(const StoreRow &Row) {
-  auto Request = parseFingerprint(
-      std::string_view(Row.m_Key).substr(CrashRowPrefix.size()));
-  std::string Error = "key: expected hexadecimal digits";
-  std::optional<CrashReport> Report;
-  if (Request && !Row.m_Removed)
-    Report = parseCrashRow(*Request, Row.m_Value, Error);
-  if (Report)
-    return applyCrashReports(m_State, {&*Report, 1}, "store");
-  // A row that is removed may have made room for a newer one.
-  if (!Row.m_Removed)
-    logEvent(LogLevel::Warning, "crash-row-unreadable",
-             {{"row", Row.m_Key}, {"cause", Error}});
-}
-
 std::vector<std::string> StoreReplica::tableNames() const {
   const StoreTables &Tables = m_State.m_Decoder.m_Tables;
   return {Tables.m_Operators, Tables.m_Upstreams, Tables.m_Vms};
--- a/src/steer/crash_suspects.cpp
+++ b/src/steer/crash_suspects.cpp
@@ -244,10 +244,12 @@
   return Found == m_Entries.end() ? 0 : Found->second.count();
 }
 
-std::size_t CrashSuspects::confirmedCount() const {
-  return std::size_t(std::ranges::count_if(m_Entries, [this](const auto &Each) {
-    return Each.second.count() >= m_Tuning.m_EndsForRefusal;
-  }));
+std::vector<RequestFingerprint> CrashSuspects::confirmedRequests() const {
+  std::vector<RequestFingerprint> Result;
+  for (const auto &[Request, Known] : m_Entries)
+    if (Known.verified() >= m_Tuning.m_EndsForRefusal)
+      Result.push_back(Request);
+  return Result;
 }
 
 CrashReport CrashSuspects::makeReport(RequestFingerprint Request,
--- a/src/steer/crash_suspects.h
+++ b/src/steer/crash_suspects.h
@@ -129,7 +129,7 @@
                                    TimePoint Now) const;
 
   [[nodiscard]] std::size_t size() const noexcept { return m_Entries.size(); }
-  [[nodiscard]] std::size_t confirmedCount() const;
+  [[nodiscard]] std::vector<RequestFingerprint> confirmedRequests() const;
 
 private:
   enum class EndState : std::uint8_t {
--- a/tests/unit/crashing_request_test.cpp
+++ b/tests/unit/crashing_request_test.cpp
@@ -16,8 +16,14 @@
          "\r\n\r\n";
 }
 
-/// \brief A gateway whose upstreams end when they begin to run "/safe/deadly",
-/// and answer everything else.
+std::string post(const std::string &Id, const std::string &Body) {
+  return "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+/// \brief A gateway whose upstreams end when they begin to run "/safe/deadly"
+/// or a body that begins with "deadly", and answer everything else.
 class FragileUpstreams {
 public:
   explicit FragileUpstreams(unsigned Count) {
@@ -31,7 +37,8 @@
                        std::string Id = co_await Side.readRequest();
                        if (Id.empty())
                          co_return;
-                       if (Side.head().m_Target == "/safe/deadly") {
+                       if (Side.head().m_Target == "/safe/deadly" ||
+                           Side.body().starts_with("deadly")) {
                          ++m_Ended;
                          m_Rig.crashUpstream(UpstreamId);
                          co_return;
@@ -63,4 +70,67 @@
   BOOST_TEST(Upstreams.m_Rig.ask(get("x", "a")).m_Body == "a");
 }
 
+// The answer to a caller whose request isn't sent is immediate and says so.
+BOOST_AUTO_TEST_CASE(RefusedRequestIsAnsweredAtOnceAsNotRun) {
+  FragileUpstreams Upstreams(6);
+  for (unsigned I = 0; I < 4; ++I)
+    (void)Upstreams.m_Rig.ask(get("deadly", "d" + std::to_string(I)));
+  unsigned Before = Upstreams.m_Ended;
+  TimePoint AskedAt = steadyNow();
+  HttpResponse Response = Upstreams.m_Rig.ask(get("deadly", "last"));
+  BOOST_TEST(Response.m_Head.m_Status == 503U);
+  BOOST_TEST(Response.m_Head.find("Retry-After") != nullptr);
+  BOOST_TEST((steadyNow() - AskedAt < 100ms));
+  BOOST_TEST(Upstreams.m_Ended == Before);
+}
+
+// Requests to the same path differ by their bodies; an order may run once, so
+// that each of its ends is seen by another caller.
+BOOST_AUTO_TEST_CASE(OrderIsRecognisedByItsBody) {
+  for (std::size_t Size : {6U, 40000U}) {
+    FragileUpstreams Upstreams(8);
+    std::string Deadly = "deadly" + std::string(Size - 6, 'x');
+    for (unsigned I = 0; I < 6; ++I)
+      (void)Upstreams.m_Rig.ask(post("d" + std::to_string(I), Deadly));
+    BOOST_TEST(Upstreams.m_Ended <= MaxEnded);
+    HttpResponse Refused = Upstreams.m_Rig.ask(post("e", Deadly));
+    BOOST_TEST(Refused.m_Head.m_Status == 503U);
+    BOOST_TEST(Upstreams.m_Rig.ask(post("a", "fine")).m_Body == "a");
+  }
+}
+
+// A request that is lost with its connection on several living upstreams is no
+// suspect.
+BOOST_AUTO_TEST_CASE(ResetConnectionsDoNotKeepARequestOut) {
+  ExchangeRig Rig;
+  unsigned Resets = 0;
+  for (const char *Id : {"u0", "u1", "u2", "u3"})
+    Rig.upstream(Id, [&Resets](ServerSide &Side) -> awaitable<void> {
+      for (;;) {
+        std::string RequestId = co_await Side.readRequest();
+        if (RequestId.empty())
+          co_return;
+        if (Resets < 8) {
+          ++Resets;
+          Side.reset();
+          co_return;
+        }
+        co_await Side.respond(RequestId, RequestId);
+      }
+    });
+  // Two attempts each, all of which are reset.
+  for (unsigned I = 0; I < 4; ++I)
+    (void)Rig.ask(get("x", "r" + std::to_string(I)));
+  BOOST_TEST(Resets == 8U);
+  BOOST_TEST(Rig.ask(get("x", "a")).m_Body == "a");
+}
+
+// The last upstream of a region isn't put at risk to try a suspect.
+BOOST_AUTO_TEST_CASE(TrialSparesTheLastUpstream) {
+  FragileUpstreams Upstreams(3);
+  for (unsigned I = 0; I < 6; ++I)
+    (void)Upstreams.m_Rig.ask(get("deadly", "d" + std::to_string(I)));
+  BOOST_TEST(Upstreams.m_Ended <= 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
