Crashing requests: a trial before a refusal for long; ended upstreams are ejected

Cause: three ends counted as certain, though one other event can end three upstreams. Why it works: after the third end one VM still tries it once, at once; the rule allows three retries, of which the others come after 5 and 20 minutes, as the upstreams may be repaired. An answer removes its row from the store, and so may an operator. An upstream that refuses connections right after it broke one off is ejected until its registration goes or names a new start; a trial spares the last one of a region.

--- a/src/gateway/crash_report.cpp
+++ b/src/gateway/crash_report.cpp
@@ -43,6 +43,7 @@
             {"ended", Ended ? "yes" : "no"},
             {"cause", Error ? Error.message() : ""}});
   if (Ended) {
+    Target->recordEnd(steadyNow(), State.m_Settings.m_Choice.m_HealthTuning);
     confirmEnd(State, Run, Target->m_Registration.m_Id);
     co_return;
   }
@@ -87,6 +88,8 @@
                   std::string_view RequestId) {
   CrashChange Change = State.m_CrashSuspects.recordAnswer(Request, steadyNow());
   logChange(Request, Change, 0, RequestId);
+  if (Change == CrashChange::Cleared && State.m_OnCrashCleared)
+    State.m_OnCrashCleared(Request);
 }
 
 void confirmEnd(GatewayState &State, UpstreamRunKey Run,
@@ -157,6 +160,7 @@
   }
   CrashReport Result;
   Result.m_Request = Request;
+  Result.m_TrialStage = 1; // A request is stored once it was tried.
   for (const Json &Each : Ends->items()) {
     auto Run = parseFingerprint(Each.asText());
     if (!Run) {
--- a/src/gateway/exchange_crashes.cpp
+++ b/src/gateway/exchange_crashes.cpp
@@ -30,9 +30,12 @@
   auto Request = fingerprint();
   if (!Request)
     return CrashVerdict::Send;
+  TimePoint Now = steadyNow();
+  const Fleet &Vms = m_State.m_Fleet;
   return m_State.m_CrashSuspects.verdict(
-      *Request, steadyNow(), m_State.m_Fleet.turnOf(*Request, steadyNow()),
-      m_State.m_Fleet.isSmall());
+      *Request, Now,
+      {Vms.turnOf(*Request, Now, true), Vms.turnOf(*Request, Now, false)},
+      Vms.isSmall());
 }
 
 awaitable<CrashVerdict> Exchange::settledCrashVerdict() {
@@ -65,7 +68,8 @@
   std::span<const UpstreamPtr> All =
       m_State.m_Upstreams.upstreamsOf(m_TargetService);
   for (const UpstreamPtr &Target : All)
-    if (m_State.m_Upstreams.exclusion(*Target, steadyNow()) == Exclusion::None)
+    if (!Target->isEjected(steadyNow()) &&
+        m_State.m_Upstreams.exclusion(*Target, steadyNow()) == Exclusion::None)
       ++Usable[Target->m_Registration.m_Region];
   std::vector<const Upstream *> Excluded;
   for (const UpstreamPtr &Target : All)
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -66,6 +66,9 @@
   std::set<UpstreamRunKey> m_EndChecks;
   /// Called with each request that is confirmed by an end seen by this VM.
   std::function<void(RequestFingerprint)> m_OnCrashConfirmed;
+  /// Called with each suspected request that an upstream has answered to this
+  /// VM.
+  std::function<void(RequestFingerprint)> m_OnCrashCleared;
   /// Called when peers should soon hear of requests that end upstreams.
   std::function<void()> m_OnCrashNews;
   /// Running mean of the response size of each route in bytes, by route name.
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -65,6 +65,8 @@
   /// unless a VM has done so. VMs that start learn of it, also if no other one
   /// is left.
   awaitable<void> publishCrashRow(RequestFingerprint Request);
+  /// \brief Removes the row of a request that an upstream has answered.
+  awaitable<void> removeCrashRow(RequestFingerprint Request);
 
   /// \brief Writes this VM's discovery row, or removes it.
   awaitable<void> publishDiscoveryRow();
@@ -111,8 +113,9 @@
   /// \brief Writes the rows of crashing requests that the store's new era
   /// lacks.
   awaitable<void> restoreCrashRows();
-  /// \brief Keys of the rows of crashing requests, oldest first.
-  [[nodiscard]] std::vector<std::string> crashRowKeys() const;
+  [[nodiscard]] bool hasCrashRow(RequestFingerprint Request) const;
+  [[nodiscard]] std::size_t crashRowCount() const;
+  awaitable<void> writeCrashRow(RequestFingerprint Request, bool Removed);
   /// \brief Whether the row's upstream has a delayed removal.
   [[nodiscard]] bool isInDoubt(const StoreRow &Row) const;
   void removeUpstream(const std::string &Id);
--- a/src/inner/heartbeat.capnp
+++ b/src/inner/heartbeat.capnp
@@ -33,7 +33,7 @@
   answerAgeMillis @4 :UInt32;   # since an upstream last answered it
   isTried @5 :Bool;             # whether trialAgeMillis is set
   trialAgeMillis @6 :UInt32;    # since its newest trial
-  lateTrials @7 :UInt8;
+  trialStage @7 :UInt8;         # 0: it was never tried
   seenAgeMillis @8 :UInt32;     # since it last arrived at a VM
 }
 
--- a/src/inner/heartbeat.capnp.c++
+++ b/src/inner/heartbeat.capnp.c++
@@ -385,8 +385,8 @@
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    108,  97, 116, 101,  84, 114, 105,  97,
-    108, 115,   0,   0,   0,   0,   0,   0,
+    116, 114, 105,  97, 108,  83, 116,  97,
+    103, 101,   0,   0,   0,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -406,7 +406,7 @@
 };
 ::capnp::word const* const bp_911edd6d5db48612 = b_911edd6d5db48612.words;
 #if !CAPNP_LITE
-static const uint16_t m_911edd6d5db48612[] = {4, 2, 1, 3, 5, 7, 0, 8, 6};
+static const uint16_t m_911edd6d5db48612[] = {4, 2, 1, 3, 5, 0, 8, 6, 7};
 static const uint16_t i_911edd6d5db48612[] = {0, 1, 2, 3, 4, 5, 6, 7, 8};
 const ::capnp::_::RawSchema s_911edd6d5db48612 = {
   0x911edd6d5db48612, b_911edd6d5db48612.words, 168, nullptr, m_911edd6d5db48612,
--- a/src/inner/heartbeat.capnp.h
+++ b/src/inner/heartbeat.capnp.h
@@ -444,7 +444,7 @@
 
   inline  ::uint32_t getTrialAgeMillis() const;
 
-  inline  ::uint8_t getLateTrials() const;
+  inline  ::uint8_t getTrialStage() const;
 
   inline  ::uint32_t getSeenAgeMillis() const;
 
@@ -507,8 +507,8 @@
   inline  ::uint32_t getTrialAgeMillis();
   inline void setTrialAgeMillis( ::uint32_t value);
 
-  inline  ::uint8_t getLateTrials();
-  inline void setLateTrials( ::uint8_t value);
+  inline  ::uint8_t getTrialStage();
+  inline void setTrialStage( ::uint8_t value);
 
   inline  ::uint32_t getSeenAgeMillis();
   inline void setSeenAgeMillis( ::uint32_t value);
@@ -1386,16 +1386,16 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t CrashReport::Reader::getLateTrials() const {
+inline  ::uint8_t CrashReport::Reader::getTrialStage() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t CrashReport::Builder::getLateTrials() {
+inline  ::uint8_t CrashReport::Builder::getTrialStage() {
   return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setLateTrials( ::uint8_t value) {
+inline void CrashReport::Builder::setTrialStage( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
--- a/src/inner/heartbeat_codec.cpp
+++ b/src/inner/heartbeat_codec.cpp
@@ -109,7 +109,7 @@
     Result.m_AnswerAge = fromMillis(Message.getAnswerAgeMillis());
   if (Message.getIsTried())
     Result.m_TrialAge = fromMillis(Message.getTrialAgeMillis());
-  Result.m_LateTrials = Message.getLateTrials();
+  Result.m_TrialStage = Message.getTrialStage();
   Result.m_SeenAge = fromMillis(Message.getSeenAgeMillis());
   return Result;
 }
@@ -129,7 +129,7 @@
   Message.setIsTried(Report.m_TrialAge.has_value());
   Message.setTrialAgeMillis(
       toMillisField(Report.m_TrialAge.value_or(Duration())));
-  Message.setLateTrials(std::uint8_t(Report.m_LateTrials));
+  Message.setTrialStage(std::uint8_t(Report.m_TrialStage));
   Message.setSeenAgeMillis(toMillisField(Report.m_SeenAge));
 }
 
--- a/src/steer/crash_suspects.cpp
+++ b/src/steer/crash_suspects.cpp
@@ -3,8 +3,9 @@
 #include "steer/crash_suspects.h"
 
 #include <algorithm>
-#include <limits>
+#include <functional>
 #include <tuple>
+#include <utility>
 
 namespace mustardspoke::steer {
 
@@ -85,15 +86,24 @@
   return true;
 }
 
-CrashChange CrashSuspects::changeSince(unsigned CountBefore,
+bool CrashSuspects::isConfirmed(const Entry &Known) const {
+  return Known.verified() >= m_Tuning.m_EndsForRefusal &&
+         Known.m_TrialStage > 0;
+}
+
+bool CrashSuspects::isConfirmed(RequestFingerprint Request) const {
+  auto Found = m_Entries.find(Request);
+  return Found != m_Entries.end() && isConfirmed(Found->second);
+}
+
+CrashChange CrashSuspects::changeSince(const Entry &Before,
                                        const Entry &Known) const {
-  unsigned Count = Known.count();
-  if (CountBefore >= m_Tuning.m_EndsForTrial && Count == 0)
+  bool WasSuspected = Before.count() >= m_Tuning.m_EndsForTrial;
+  if (WasSuspected && Known.count() == 0)
     return CrashChange::Cleared;
-  if (CountBefore < m_Tuning.m_EndsForRefusal &&
-      Count >= m_Tuning.m_EndsForRefusal)
+  if (!isConfirmed(Before) && isConfirmed(Known))
     return CrashChange::Confirmed;
-  if (CountBefore < m_Tuning.m_EndsForTrial && Count >= m_Tuning.m_EndsForTrial)
+  if (!WasSuspected && Known.count() >= m_Tuning.m_EndsForTrial)
     return CrashChange::Suspected;
   return CrashChange::None;
 }
@@ -132,7 +142,7 @@
         continue;
       Each.m_State = EndState::Verified;
       Known.m_ChangedAt = Now;
-      if (Known.verified() >= m_Tuning.m_EndsForRefusal)
+      if (isConfirmed(Known))
         Confirmed.push_back(Request);
     }
   return Confirmed;
@@ -144,8 +154,7 @@
   if (Found == m_Entries.end() || Found->second.m_Ends.empty())
     return CrashChange::None;
   Entry &Known = Found->second;
-  unsigned Before = Known.count();
-  Known = Entry();
+  Entry Before = std::exchange(Known, Entry());
   Known.m_AnsweredAt = Now;
   Known.m_SeenAt = Now;
   Known.m_ChangedAt = Now;
@@ -153,17 +162,18 @@
 }
 
 CrashChange CrashSuspects::merge(const CrashReport &Report, TimePoint Now) {
+  bool IsAnswered = Report.m_AnswerAge && *Report.m_AnswerAge < AnswerLifetime;
+  if (Report.m_Ends.empty() && !IsAnswered)
+    return CrashChange::None;
   Entry &Known = entryFor(Report.m_Request, Now);
-  unsigned Before = Known.count();
+  const Entry Before = Known;
   bool Changed = false;
   if (Report.m_AnswerAge &&
       Now - *Report.m_AnswerAge > Known.m_AnsweredAt + AnswerSlack) {
     Known.m_AnsweredAt = Now - *Report.m_AnswerAge;
     dropAnswered(Known);
-    if (Known.m_Ends.empty()) {
-      Known.m_LateTrials = 0;
-      Known.m_Trials = 0;
-    }
+    if (Known.m_Ends.empty())
+      Known.m_TrialStage = Known.m_Trials = 0;
     Changed = true;
   }
   for (const CrashReport::End &Told : Report.m_Ends)
@@ -178,7 +188,7 @@
     Changed = true;
   }
   if (!Known.m_Ends.empty())
-    Known.m_LateTrials = std::max(Known.m_LateTrials, Report.m_LateTrials);
+    Known.m_TrialStage = std::max(Known.m_TrialStage, Report.m_TrialStage);
   Known.m_SeenAt = std::max(Known.m_SeenAt, Now - Report.m_SeenAge);
   if (Changed)
     Known.m_ChangedAt = Now;
@@ -191,7 +201,7 @@
 }
 
 CrashVerdict CrashSuspects::verdict(RequestFingerprint Request, TimePoint Now,
-                                    unsigned Turn, bool IsSmallFleet) const {
+                                    TrialTurn Turn, bool IsSmallFleet) const {
   auto Found = m_Entries.find(Request);
   if (Found == m_Entries.end() || isExpired(Found->second, Now))
     return CrashVerdict::Send;
@@ -200,15 +210,16 @@
   unsigned Verified = Known.verified();
   if (Count < m_Tuning.m_EndsForTrial)
     return CrashVerdict::Send;
+  Duration Step =
+      IsSmallFleet ? m_Tuning.m_TrialStep : m_Tuning.m_LargeFleetTrialStep;
+  bool IsFirst = Known.m_TrialStage == 0;
   Duration TurnDelay =
-      std::int64_t(Turn) *
-      (IsSmallFleet ? m_Tuning.m_TrialStep : m_Tuning.m_LargeFleetTrialStep);
+      Step * std::int64_t(IsFirst ? Turn.m_AmongCarriers : Turn.m_AmongAll);
   TimePoint Due = Known.lastEndAt() + TurnDelay;
   if (Verified >= m_Tuning.m_EndsForRefusal) {
-    if (Known.m_LateTrials >= m_Tuning.m_MaxLateTrials)
+    if (Known.m_TrialStage >= m_Tuning.m_TrialDelays.size())
       return CrashVerdict::Refuse;
-    Due += Known.m_LateTrials == 0 ? m_Tuning.m_FirstLateTrial
-                                   : m_Tuning.m_SecondLateTrial;
+    Due += m_Tuning.m_TrialDelays[Known.m_TrialStage];
   } else if (Verified < Count) {
     return CrashVerdict::Wait;
   } else if (Known.m_Trials > 0) {
@@ -234,7 +245,9 @@
   Known.m_TrialAt = Now;
   ++Known.m_Trials;
   if (Known.count() >= m_Tuning.m_EndsForRefusal)
-    ++Known.m_LateTrials;
+    ++Known.m_TrialStage;
+  else
+    Known.m_TrialStage = std::max(Known.m_TrialStage, 1U);
   Known.m_SeenAt = Now;
   Known.m_ChangedAt = Now;
 }
@@ -247,7 +260,7 @@
 std::vector<RequestFingerprint> CrashSuspects::confirmedRequests() const {
   std::vector<RequestFingerprint> Result;
   for (const auto &[Request, Known] : m_Entries)
-    if (Known.verified() >= m_Tuning.m_EndsForRefusal)
+    if (isConfirmed(Known))
       Result.push_back(Request);
   return Result;
 }
@@ -264,7 +277,7 @@
     Result.m_AnswerAge = Now - Known.m_AnsweredAt;
   if (Known.m_TrialAt != TimePoint())
     Result.m_TrialAge = Now - Known.m_TrialAt;
-  Result.m_LateTrials = Known.m_LateTrials;
+  Result.m_TrialStage = Known.m_TrialStage;
   Result.m_SeenAge = Now - Known.m_SeenAt;
   return Result;
 }
--- a/src/steer/crash_suspects.h
+++ b/src/steer/crash_suspects.h
@@ -5,6 +5,7 @@
 
 #include "steer/upstream.h"
 
+#include <array>
 #include <map>
 #include <span>
 #include <vector>
@@ -40,29 +41,40 @@
   /// Since an upstream last answered the request; none if it isn't known.
   std::optional<Duration> m_AnswerAge;
   std::optional<Duration> m_TrialAge; ///< Since the newest trial.
-  unsigned m_LateTrials = 0; ///< Trials after the request was confirmed.
-  Duration m_SeenAge{};      ///< Since the request last arrived at a VM.
+  /// 0: it was never tried; grows with each trial once enough upstreams ended.
+  unsigned m_TrialStage = 0;
+  Duration m_SeenAge{}; ///< Since the request last arrived at a VM.
+};
+
+/// \brief Number of live VMs that come before a VM in the order of a request;
+/// see Fleet::turnOf(). The lower it is, the sooner the VM makes a trial.
+struct TrialTurn {
+  /// Among those that carry traffic, as far as this VM knows them: the first
+  /// trial is made soon, by a VM that callers reach.
+  unsigned m_AmongCarriers = 0;
+  unsigned m_AmongAll = 0; ///< For later trials, of which few are allowed.
 };
 
 struct CrashTuning {
   /// Different runs that ended under a request, without an answer in between,
-  /// until it is sent by one VM only (a trial), and until it isn't sent at all.
+  /// until one VM only sends it (a trial), and until the number of trials is
+  /// limited.
   unsigned m_EndsForTrial = 2;
   unsigned m_EndsForRefusal = 3;
   /// A VM makes a trial after this time for each VM before it in the order of
   /// the request, so that it has heard of an earlier one.
   Duration m_TrialStep = 500ms;
   /// The same where news take longer to reach all VMs.
-  Duration m_LargeFleetTrialStep = 2s;
+  Duration m_LargeFleetTrialStep = 1s;
   /// A trial without a result is repeated after this time, doubled up to the
   /// second one.
   Duration m_TrialInterval = 5s;
   Duration m_MaxTrialInterval = 30s;
-  /// A request that was confirmed is tried this long after its last end, as the
-  /// upstreams may have been repaired; the second time after the longer one.
-  Duration m_FirstLateTrial = 5min;
-  Duration m_SecondLateTrial = 20min;
-  unsigned m_MaxLateTrials = 2;
+  /// Delays since the last end of the trials of a request with
+  /// m_EndsForRefusal ends, by its stage. The first one tells a request that
+  /// ends its upstreams from one that lost several which ended at the same time
+  /// for another reason; until the later ones the upstreams may be repaired.
+  std::array<Duration, 3> m_TrialDelays{Duration::zero(), 5min, 20min};
   /// Requests that haven't arrived at any VM for this long are forgotten.
   Duration m_Lifetime = 1h;
   std::size_t m_MaxRequests = 1024;
@@ -72,7 +84,7 @@
 enum class CrashChange : std::uint8_t {
   None,
   Suspected, ///< It is sent as a trial only.
-  Confirmed, ///< It isn't sent any more.
+  Confirmed, ///< It was tried, and is sent only after long delays.
   Cleared,   ///< It was suspected or confirmed, and is sent again.
 };
 
@@ -105,20 +117,18 @@
   /// \brief Whether any request with this head is suspected, so that the body
   /// matters.
   [[nodiscard]] bool knowsHead(std::uint32_t HeadDigest) const;
-  /// \param Turn Number of live VMs before this one in the order of the request
-  /// (see Fleet::turnOf()).
+  /// \param Turn Place of this VM in the order of the request.
   /// \param IsSmallFleet Whether news reach all VMs in m_TrialStep.
   [[nodiscard]] CrashVerdict verdict(RequestFingerprint Request, TimePoint Now,
-                                     unsigned Turn, bool IsSmallFleet) const;
+                                     TrialTurn Turn, bool IsSmallFleet) const;
   /// \brief Notes that the request arrived and was refused.
   void recordRefusal(RequestFingerprint Request, TimePoint Now);
   /// \brief Notes that this VM sends the request as a trial.
   void beginTrial(RequestFingerprint Request, TimePoint Now);
   /// \brief Different runs that ended under the request.
   [[nodiscard]] unsigned endsOf(RequestFingerprint Request) const;
-  [[nodiscard]] bool isConfirmed(RequestFingerprint Request) const {
-    return endsOf(Request) >= m_Tuning.m_EndsForRefusal;
-  }
+  /// \brief Whether enough upstreams ended, and a trial was made.
+  [[nodiscard]] bool isConfirmed(RequestFingerprint Request) const;
 
   /// \brief What to tell peers: recent changes, and some of the confirmed
   /// requests, which a VM that starts has yet to learn.
@@ -146,8 +156,8 @@
     std::vector<End> m_Ends; ///< Since the last answer; different runs.
     TimePoint m_AnsweredAt{};
     TimePoint m_TrialAt{};
-    unsigned m_Trials = 0; ///< Since the number of ends last changed.
-    unsigned m_LateTrials = 0;
+    unsigned m_Trials = 0;     ///< Since the number of ends last changed.
+    unsigned m_TrialStage = 0; ///< See CrashReport.
     TimePoint m_SeenAt{};
     TimePoint m_ChangedAt{}; ///< Peers are told of recent changes.
 
@@ -174,9 +184,10 @@
   bool addEnd(Entry &Known, const End &Added);
   /// \brief Removes the ends that an answer outdates.
   static void dropAnswered(Entry &Known);
+  [[nodiscard]] bool isConfirmed(const Entry &Known) const;
   [[nodiscard]] bool isExpired(const Entry &Known, TimePoint Now) const;
   void makeRoom(TimePoint Now);
-  [[nodiscard]] CrashChange changeSince(unsigned CountBefore,
+  [[nodiscard]] CrashChange changeSince(const Entry &Before,
                                         const Entry &Known) const;
   [[nodiscard]] CrashReport makeReport(RequestFingerprint Request,
                                        const Entry &Known, TimePoint Now) const;
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -260,11 +260,15 @@
   return HigherRanked < Senders ? 1.0 / Senders : 0;
 }
 
-unsigned Fleet::turnOf(std::uint64_t Hash, TimePoint Now) const {
+unsigned Fleet::turnOf(std::uint64_t Hash, TimePoint Now,
+                       bool CarriersOnly) const {
   std::uint64_t OwnRank = stableHash(m_Self.m_Vm.str(), Hash);
   return unsigned(std::ranges::count_if(m_Peers, [&](const auto &Entry) {
-    const EntryVm &Vm = Entry.second.m_State;
-    return isLive(Entry.second, Now) && Vm.m_Ready && !Vm.m_Leaving &&
+    const Peer &Vm = Entry.second;
+    bool Carries =
+        Vm.m_CarriedAt && Now - *Vm.m_CarriedAt < m_Tuning.m_CarrierTimeout;
+    return isLive(Vm, Now) && !Vm.m_State.m_Leaving &&
+           (Carries || !CarriersOnly) &&
            stableHash(Entry.first.str(), Hash) > OwnRank;
   }));
 }
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -194,9 +194,11 @@
                                       const RegionName &Region,
                                       unsigned MaxSenders, TimePoint Now) const;
 
-  /// \brief Number of live VMs that take callers and come before this one in
-  /// an order that depends on \p Hash and is the same on all VMs.
-  [[nodiscard]] unsigned turnOf(std::uint64_t Hash, TimePoint Now) const;
+  /// \brief Number of live VMs that come before this one in an order that
+  /// depends on \p Hash and is the same on all VMs.
+  /// \param CarriersOnly Whether only VMs that carry traffic are counted.
+  [[nodiscard]] unsigned turnOf(std::uint64_t Hash, TimePoint Now,
+                                bool CarriersOnly) const;
 
   /// \brief Whether this VM must read the store itself, because too few other
   /// VMs of its region do.
--- a/src/steer/upstream.cpp
+++ b/src/steer/upstream.cpp
@@ -52,6 +52,14 @@
   return true;
 }
 
+void Upstream::recordEnd(TimePoint Now, const UpstreamHealthTuning &Tuning) {
+  m_ConsecutiveFailures =
+      std::max(m_ConsecutiveFailures, Tuning.m_EjectAfterFailures);
+  m_EjectedAfterFailures = true;
+  m_LastEjection = Tuning.m_MaxEjection;
+  m_EjectedUntil = Now + m_LastEjection;
+}
+
 void Upstream::recordConnect(Duration Elapsed) noexcept {
   m_RoundTripTime = m_RoundTripTime == Duration::zero()
                         ? Elapsed
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -122,6 +122,9 @@
   /// \returns Whether this failure ejected the upstream.
   bool recordFailure(TimePoint Now, const UpstreamHealthTuning &Tuning,
                      bool AnswersOthers = false);
+  /// \brief Records that it has ended: it is ejected until its registration is
+  /// gone or names a new start.
+  void recordEnd(TimePoint Now, const UpstreamHealthTuning &Tuning);
   /// \brief Whether it has answered any request since \p Since.
   [[nodiscard]] bool hasAnsweredSince(TimePoint Since) const noexcept {
     return m_LastAnswerAt >= Since;
--- a/tests/unit/crash_rows_test.cpp
+++ b/tests/unit/crash_rows_test.cpp
@@ -71,13 +71,14 @@
       m_State.m_CrashSuspects.recordLoss(Request, Run, steadyNow());
       (void)m_State.m_CrashSuspects.confirmEnd(Run, steadyNow());
     }
+    m_State.m_CrashSuspects.beginTrial(Request, steadyNow());
     asio::co_spawn(
         m_Io, [this, Request]() { return m_Replica.publishCrashRow(Request); },
         asio::detached);
     runFor(std::chrono::milliseconds(5));
   }
   [[nodiscard]] bool refuses(RequestFingerprint Request) const {
-    return m_State.m_CrashSuspects.verdict(Request, steadyNow(), 0, true) ==
+    return m_State.m_CrashSuspects.verdict(Request, steadyNow(), {}, true) ==
            CrashVerdict::Refuse;
   }
 
@@ -120,8 +121,32 @@
   for (RequestFingerprint I = 1; I < 80; ++I)
     StoreUser(Store).publish(Deadly + I);
   BOOST_TEST(Store.m_Rows.size() == 64U);
-  BOOST_TEST(!Store.m_Rows.contains(std::string(CrashRowPrefix) +
-                                    formatFingerprint(Deadly)));
+  // The last ones find no room.
+  BOOST_TEST(StoreUser(Store).refuses(Deadly));
+  BOOST_TEST(!StoreUser(Store).refuses(Deadly + 79));
+}
+
+// An answer to any VM clears the request for all, also for those that start
+// later; so does an operator who removes the row.
+BOOST_AUTO_TEST_CASE(AnswerRemovesTheRow) {
+  VmTable Store;
+  StoreUser Vm(Store);
+  Vm.publish(Deadly);
+  StoreUser Other(Store);
+  BOOST_TEST(Other.refuses(Deadly));
+  (void)Other.m_State.m_CrashSuspects.recordAnswer(Deadly, steadyNow());
+  asio::co_spawn(
+      Other.m_Io, [&Other]() { return Other.m_Replica.removeCrashRow(Deadly); },
+      asio::detached);
+  Other.runFor(std::chrono::milliseconds(5));
+  BOOST_TEST(Store.m_Rows.empty());
+  BOOST_TEST(!StoreUser(Store).refuses(Deadly));
+  Vm.m_Replica.applyRelayedRows({{{{"vm", "crashing-request/0000000700000007",
+                                    "", storePosition(1, 9), true},
+                                   false}},
+                                 {},
+                                 false});
+  BOOST_TEST(!Vm.refuses(Deadly));
 }
 
 BOOST_AUTO_TEST_CASE(UnreadableRowsAreIgnored) {
--- a/tests/unit/crash_suspects_test.cpp
+++ b/tests/unit/crash_suspects_test.cpp
@@ -155,7 +155,7 @@
   void arrive(unsigned At, unsigned Attempts) {
     CrashSuspects &Suspects = m_Vms[At].m_Suspects;
     CrashVerdict Verdict =
-        Suspects.verdict(Deadly, m_Now, turnOf(At), isSmall());
+        Suspects.verdict(Deadly, m_Now, {turnOf(At), turnOf(At)}, isSmall());
     if (Verdict == CrashVerdict::Wait)
       return after(Tick, [this, At, Attempts] { arrive(At, Attempts); });
     if (Verdict == CrashVerdict::Refuse) {
@@ -311,7 +311,7 @@
     Suspects.recordLoss(Deadly, Run, Start);
     (void)Suspects.confirmEnd(Run, Start);
   }
-  BOOST_TEST(Suspects.isConfirmed(Deadly));
+  BOOST_TEST(Suspects.endsOf(Deadly) == 3U);
   CrashReport Late = Suspects.report(Deadly, Start);
   BOOST_TEST(
       (Suspects.recordAnswer(Deadly, Start + 1s) == CrashChange::Cleared));
@@ -332,7 +332,7 @@
   }
   BOOST_TEST(Suspects.endsOf(Deadly) == 1U);
   BOOST_TEST(
-      (Suspects.verdict(Deadly, Start + 1s, 0, true) == CrashVerdict::Send));
+      (Suspects.verdict(Deadly, Start + 1s, {}, true) == CrashVerdict::Send));
 }
 
 // Connections that are reset while their upstreams live are no evidence.
@@ -340,19 +340,20 @@
   CrashSuspects Suspects;
   Suspects.recordLoss(Deadly, 1, Start);
   Suspects.recordLoss(Deadly, 2, Start);
-  BOOST_TEST((Suspects.verdict(Deadly, Start, 0, true) == CrashVerdict::Wait));
+  BOOST_TEST((Suspects.verdict(Deadly, Start, {}, true) == CrashVerdict::Wait));
   Suspects.refuteEnd(1, Start + 100ms);
   Suspects.refuteEnd(2, Start + 100ms);
-  BOOST_TEST(
-      (Suspects.verdict(Deadly, Start + 100ms, 0, true) == CrashVerdict::Send));
+  BOOST_TEST((Suspects.verdict(Deadly, Start + 100ms, {}, true) ==
+              CrashVerdict::Send));
   BOOST_TEST(Suspects.report(Deadly, Start).m_Ends.empty());
   // An upstream may be replaced before it is checked.
   (void)Suspects.confirmEnd(1, Start + 3s);
   BOOST_TEST(Suspects.endsOf(Deadly) == 1U);
 }
 
-// A request that was confirmed gets two more trials in all, long afterwards.
-BOOST_AUTO_TEST_CASE(ConfirmedRequestIsTriedTwiceMore) {
+// After its third end, a request is tried three times in all, for as long as it
+// goes on coming.
+BOOST_AUTO_TEST_CASE(RequestIsTriedThreeTimesAfterItsThirdEnd) {
   CrashSuspects Suspects;
   for (UpstreamRunKey Run : {1U, 2U, 3U}) {
     Suspects.recordLoss(Deadly, Run, Start);
@@ -360,19 +361,38 @@
   }
   unsigned Trials = 0;
   for (TimePoint Now = Start; Now < Start + 3h; Now += 1s) {
-    CrashVerdict Verdict = Suspects.verdict(Deadly, Now, 0, true);
+    CrashVerdict Verdict = Suspects.verdict(Deadly, Now, {}, true);
     BOOST_REQUIRE((Verdict != CrashVerdict::Send));
     if (Verdict == CrashVerdict::Refuse) {
       Suspects.recordRefusal(Deadly, Now);
       continue;
     }
-    BOOST_TEST((Now >= Start + 5min));
+    BOOST_TEST((Trials == 0 || Now >= Start + 5min));
     ++Trials;
     Suspects.beginTrial(Deadly, Now);
     Suspects.recordLoss(Deadly, 3 + Trials, Now);
     (void)Suspects.confirmEnd(3 + Trials, Now);
   }
-  BOOST_TEST(Trials == 2U);
+  BOOST_TEST(Trials == AllowedRetries);
+}
+
+// Upstreams that end at the same time for another reason may have had copies of
+// a popular request; it is tried before it is refused for long.
+BOOST_AUTO_TEST_CASE(RequestThatLostThreeUpstreamsAtOnceIsTriedFirst) {
+  CrashSuspects Suspects;
+  for (UpstreamRunKey Run : {1U, 2U, 3U, 4U}) {
+    Suspects.recordLoss(Deadly, Run, Start);
+    (void)Suspects.confirmEnd(Run, Start + 50ms);
+  }
+  BOOST_TEST(!Suspects.isConfirmed(Deadly));
+  BOOST_TEST((Suspects.verdict(Deadly, Start + 100ms, {}, true) ==
+              CrashVerdict::Trial));
+  Suspects.beginTrial(Deadly, Start + 100ms);
+  BOOST_TEST((Suspects.verdict(Deadly, Start + 110ms, {}, true) ==
+              CrashVerdict::Refuse));
+  (void)Suspects.recordAnswer(Deadly, Start + 300ms);
+  BOOST_TEST((Suspects.verdict(Deadly, Start + 300ms, {}, true) ==
+              CrashVerdict::Send));
 }
 
 // Requests with varying bodies fill the memory; one that is confirmed stays.
@@ -387,11 +407,30 @@
     Suspects.recordLoss(Varied, 10 + Body, Start + 1s);
     (void)Suspects.confirmEnd(10 + Body, Start + 1s);
   }
-  BOOST_TEST(Suspects.isConfirmed(Deadly));
+  BOOST_TEST(Suspects.endsOf(Deadly) == 3U);
   BOOST_TEST(Suspects.size() <= CrashTuning().m_MaxRequests);
   BOOST_TEST(Suspects.reportsToSend(Start + 1s, 0).size() <= 16U);
 }
 
+// A peer that reports nonsense costs bounded memory.
+BOOST_AUTO_TEST_CASE(NonsenseOfAPeerIsBounded) {
+  CrashSuspects Suspects;
+  CrashReport Nonsense;
+  Nonsense.m_TrialAge = 1000h;
+  Nonsense.m_TrialStage = 255;
+  for (UpstreamRunKey Run = 0; Run < 1000; ++Run)
+    Nonsense.m_Ends.push_back({Run, Duration(std::int64_t(Run) << 32)});
+  for (RequestFingerprint I = 0; I < 5000; ++I) {
+    Nonsense.m_Request = I << 32;
+    (void)Suspects.merge(Nonsense, Start + 1000h);
+    (void)Suspects.merge({I, {}, {}, {}, 0, {}}, Start + 1000h);
+  }
+  BOOST_TEST(Suspects.size() <= CrashTuning().m_MaxRequests);
+  BOOST_TEST(Suspects.endsOf(0) <= 8U);
+  BOOST_TEST(
+      (Suspects.verdict(1, Start + 1000h, {}, true) == CrashVerdict::Send));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace mustardspoke::steer
--- a/tests/unit/crashing_request_test.cpp
+++ b/tests/unit/crashing_request_test.cpp
@@ -130,7 +130,8 @@
   FragileUpstreams Upstreams(3);
   for (unsigned I = 0; I < 6; ++I)
     (void)Upstreams.m_Rig.ask(get("deadly", "d" + std::to_string(I)));
-  BOOST_TEST(Upstreams.m_Ended <= 3U);
+  BOOST_TEST(Upstreams.m_Ended == 2U);
+  BOOST_TEST(Upstreams.m_Rig.ask(get("x", "a")).m_Body == "a");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/fleet_members_test.cpp
+++ b/tests/unit/fleet_members_test.cpp
@@ -148,6 +148,25 @@
   BOOST_TEST(Retries <= Tuning.m_Slack);
 }
 
+// A request that may end its upstreams is tried by one VM first.
+BOOST_AUTO_TEST_CASE(TurnsOfAHashDifferBetweenVms) {
+  std::set<unsigned> Turns;
+  for (const char *Name : {"a", "b", "c", "d"}) {
+    Fleet Self(vm(Name, "r"), {});
+    for (const char *Other : {"a", "b", "c", "d"})
+      if (std::string_view(Other) != Name)
+        (void)Self.receivedHeartbeat(vm(Other, "r"), Start);
+    Turns.insert(Self.turnOf(7, Start, false));
+    BOOST_TEST(Self.turnOf(7, Start, true) == 0U);
+    BOOST_TEST(Self.turnOf(7, Start + 1min, false) == 0U);
+    for (const char *Other : {"a", "b", "c", "d"})
+      if (std::string_view(Other) != Name)
+        Self.setPeerLoads(VmName(Other), {{1, 2.0}}, Start);
+    BOOST_TEST(Self.turnOf(7, Start, true) == Self.turnOf(7, Start, false));
+  }
+  BOOST_TEST((Turns == std::set<unsigned>{0, 1, 2, 3}));
+}
+
 BOOST_AUTO_TEST_CASE(OutdatedPeerLoadIsNotCounted) {
   Fleet Self(vm("a", "r"), {});
   (void)Self.receivedHeartbeat(vm("b", "r"), Start);
--- a/tests/unit/inner_protocol_test.cpp
+++ b/tests/unit/inner_protocol_test.cpp
@@ -42,6 +42,8 @@
   Sent.m_AnnouncedRuns = {1ULL << 63};
   Sent.m_RemovedRuns = {6, 7};
   Sent.m_Limits = {{8, 2.5, 1200ms}, {9, std::nullopt, 3ms}};
+  Sent.m_Crashes = {{1ULL << 63, {{5, 7ms}, {6, 2s}}, 4ms, 3s, 2, 9h},
+                    {10, {}, {}, {}, 0, {}}};
   auto Received = decodeHeartbeat(encodeHeartbeat(Sent));
   BOOST_REQUIRE(Received.has_value());
   BOOST_TEST((Received->m_AnnouncedRuns == Sent.m_AnnouncedRuns));
@@ -50,6 +52,17 @@
   BOOST_TEST((Received->m_Limits[0].m_Rate == 2.5));
   BOOST_TEST((Received->m_Limits[0].m_Age == 1200ms));
   BOOST_TEST(!Received->m_Limits[1].m_Rate.has_value());
+  BOOST_REQUIRE(Received->m_Crashes.size() == 2U);
+  const CrashReport &Crash = Received->m_Crashes.front();
+  BOOST_TEST(Crash.m_Request == 1ULL << 63);
+  BOOST_REQUIRE(Crash.m_Ends.size() == 2U);
+  BOOST_TEST(Crash.m_Ends[1].m_Run == 6U);
+  BOOST_TEST((Crash.m_Ends[1].m_Age == 2s));
+  BOOST_TEST((Crash.m_AnswerAge == 4ms));
+  BOOST_TEST((Crash.m_TrialAge == 3s));
+  BOOST_TEST(Crash.m_TrialStage == 2U);
+  BOOST_TEST((Crash.m_SeenAge == 9h));
+  BOOST_TEST(!Received->m_Crashes[1].m_AnswerAge.has_value());
   BOOST_TEST(Received->m_Sender.m_Vm.str() == "a");
   BOOST_TEST(Received->m_Sender.m_FollowsStore);
   BOOST_TEST((Received->m_Sender.m_TimerLag == 30ms));
