--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -34,7 +34,8 @@
 constexpr RequestTemplate RequestTemplates[] = {
     {"GET /read/x HTTP/1.1\r\n", ""},
     {"POST /order/x HTTP/1.1\r\n", "hopper"},
-    {"GET /edition/x HTTP/1.1\r\n", ""}};
+    {"GET /edition/x HTTP/1.1\r\n", ""},
+    {"GET /read/crash HTTP/1.1\r\n", ""}};
 
 RequestKind randomKind(Random &Rng) {
   unsigned Drawn = Rng(10);
@@ -154,10 +155,12 @@
 std::string Callers::requestText(std::size_t Index, RequestKind Kind) const {
   const RequestTemplate &Template = RequestTemplates[std::size_t(Kind)];
   std::string Body = Template.m_Body;
+  // All copies of a crashing request are equal but for their identifiers.
+  std::size_t Key = Kind == RequestKind::Crashing ? 0 : Index % KeyCount;
   return Template.m_RequestLine +
          std::string("Host: soak.example\r\nX-Request-Id: ") +
          m_Observed.m_Attempts[Index].m_Id +
-         "\r\nX-Affinity-Key: " + std::to_string(Index % KeyCount) + "\r\n" +
+         "\r\nX-Affinity-Key: " + std::to_string(Key) + "\r\n" +
          (Body.empty()
               ? ""
               : "Content-Length: " + std::to_string(Body.size()) + "\r\n") +
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -21,7 +21,12 @@
 };
 
 /// \brief Kind of request that a caller sends.
-enum class RequestKind : std::uint8_t { Read, Order, Edition };
+enum class RequestKind : std::uint8_t {
+  Read,
+  Order,
+  Edition,
+  Crashing, ///< Ends each upstream that begins to run it.
+};
 
 /// \brief Concurrent callers, each with its own connections.
 class Callers {
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -24,9 +24,9 @@
 } // namespace
 
 FaultInjector::FaultInjector(asio::io_context &Io, LocalDeployment &Deployment,
-                             std::uint64_t Seed, bool Drills)
-    : m_Io(Io), m_Deployment(Deployment), m_Rng(Seed, 7), m_Drills(Drills),
-      m_Start(steadyNow()) {}
+                             Callers &Requests, std::uint64_t Seed, bool Drills)
+    : m_Io(Io), m_Deployment(Deployment), m_Callers(Requests), m_Rng(Seed, 7),
+      m_Drills(Drills), m_Start(steadyNow()) {}
 
 const std::vector<FaultInjector::Kind> &FaultInjector::kinds(bool Drills) {
   static const std::vector<Kind> All{
@@ -53,6 +53,8 @@
     for (int I = 0; I < 3; ++I) {
       Result.push_back({"older-store", &FaultInjector::bringBackOlderStore});
       Result.push_back({"quiet-upstream", &FaultInjector::quietUpstream});
+      Result.push_back(
+          {"crashing-request", &FaultInjector::sendCrashingRequests});
     }
     return Result;
   }();
@@ -277,4 +279,12 @@
   m_Deployment.upstream(Index).m_Faults.m_QuietSeconds = 0;
 }
 
+FaultInjector::Done FaultInjector::sendCrashingRequests() {
+  constexpr unsigned Copies = 30;
+  for (unsigned I = 0; I < Copies; ++I) {
+    (void)co_await m_Callers.sendOnce(randomVm(), RequestKind::Crashing);
+    co_await randomDelay(50ms, 350ms);
+  }
+}
+
 } // namespace mustardspoke::soak
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -13,7 +13,7 @@
   /// \param Drills Also draws the faults that were added later; without them,
   /// a seed draws the same faults as before.
   FaultInjector(steer::asio::io_context &Io, LocalDeployment &Deployment,
-                std::uint64_t Seed, bool Drills);
+                Callers &Requests, std::uint64_t Seed, bool Drills);
 
   /// \brief Draws and schedules the faults.
   void start(Duration Length);
@@ -53,6 +53,7 @@
   Done evacuateDomain();
   Done bringBackOlderStore();
   Done quietUpstream();
+  Done sendCrashingRequests();
 
   Done stopAndRestart(unsigned Vm, Duration Repeat);
   Done randomDelay(Duration Min, Duration Max);
@@ -62,6 +63,7 @@
 
   steer::asio::io_context &m_Io;
   LocalDeployment &m_Deployment;
+  Callers &m_Callers;
   Random m_Rng;
   bool m_Drills = false;
   bool m_StoreDrillRunning = false;
--- a/tests/soak/local_deployment.cpp
+++ b/tests/soak/local_deployment.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 // Third byte of the addresses.
+/// From the end of an upstream under a request to its next start.
+constexpr Duration UpstreamRestartTime = 1500ms;
 constexpr unsigned VmGroup = 1;
 constexpr unsigned UpstreamGroup = 2;
 constexpr unsigned UpstreamLinkGroup = 3;
@@ -115,9 +117,17 @@
   m_UpstreamLinkDisturbed.push_back(false);
   m_Upstreams.emplace_back(m_Io, m_Table, m_Observed, std::move(Plan),
                            m_Plan.m_Seed);
+  m_Upstreams.back().m_OnCrashedByRequest = [this, Index] {
+    test::spawn(m_Io, [this, Index]() { return restartUpstreamLater(Index); });
+  };
   m_Upstreams.back().start();
 }
 
+awaitable<void> LocalDeployment::restartUpstreamLater(unsigned Upstream) {
+  co_await sleepFor(m_Io, UpstreamRestartTime);
+  startUpstream(Upstream);
+}
+
 std::string LocalDeployment::settingsPath(unsigned Vm) const {
   return m_Plan.m_Directory + "/vm-" + std::to_string(Vm) + ".json";
 }
--- a/tests/soak/local_deployment.h
+++ b/tests/soak/local_deployment.h
@@ -97,6 +97,7 @@
   [[nodiscard]] std::string settingsOf(unsigned Vm) const;
   [[nodiscard]] std::string settingsPath(unsigned Vm) const;
   void addUpstream(const std::string &Id, const std::string &Service);
+  steer::awaitable<void> restartUpstreamLater(unsigned Upstream);
   void writeConfiguration();
   void recordWithdrawal(Withdrawal::Kind Kind, const std::string &Target);
   void recordReturn(Withdrawal::Kind Kind, const std::string &Target);
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -63,6 +63,7 @@
     if (!Sent.contains(Id))
       Result.push_back(Id + ": ran, but no caller sent it");
   checkEditions(Result);
+  checkCrashingRequest(Limits, Result);
   checkRetries(Limits, Result);
   if (Limits.m_CheckTiming) {
     checkWithdrawals(Limits, Result);
@@ -146,6 +147,23 @@
   }
 }
 
+void Observations::checkCrashingRequest(const InvariantLimits &Limits,
+                                        Messages &Violations) const {
+  constexpr std::size_t AllowedEnds = 3;
+  if (m_CrashedByRequest.size() < AllowedEnds)
+    return;
+  TimePoint From = m_CrashedByRequest[AllowedEnds - 1] + Limits.m_SettleTime;
+  auto Late = std::ranges::count_if(m_CrashedByRequest, [&](TimePoint At) {
+    return At > From && isUndisturbed(At - Limits.m_SettleTime, At) &&
+           !overlaps(m_LinkDisruptions, At - Limits.m_SettleTime, At);
+  });
+  if (Late > std::ptrdiff_t(Limits.m_CrashRetries))
+    Violations.push_back("a request that had ended three upstreams was sent " +
+                         std::to_string(Late) + " times more; " +
+                         std::to_string(m_CrashedByRequest.size()) +
+                         " ended in all");
+}
+
 void Observations::checkEditions(Messages &Violations) const {
   // Each edition of the configuration has its own numbered service. A process
   // must never return to an older edition.
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -83,6 +83,9 @@
   Duration m_SettleTime = 4s;
   /// Whether the limits of withdrawals and of late runs are checked.
   bool m_CheckTiming = false;
+  /// Sends of a request that has ended three upstreams, later than
+  /// m_SettleTime after the third.
+  unsigned m_CrashRetries = 3;
   double m_RetryRatio = 0.2;
   double m_RetrySlack = 50;
   Duration m_RetryWindow = 10s;
@@ -99,6 +102,8 @@
   std::vector<Disruption> m_StoreDisruptions;
   std::vector<Disruption> m_LinkDisruptions; ///< Of connections to upstreams.
   std::vector<Withdrawal> m_Withdrawals;
+  /// Ends of upstreams under the crashing request, and its sends.
+  std::vector<TimePoint> m_CrashedByRequest;
   std::vector<std::string> m_Violations; ///< Found during the run.
 
   /// \brief Checks all invariants. \returns A message for each violation.
@@ -115,6 +120,8 @@
   void checkLateRuns(const InvariantLimits &Limits, Messages &Violations) const;
   void checkRetries(const InvariantLimits &Limits, Messages &Violations) const;
   void checkEditions(Messages &Violations) const;
+  void checkCrashingRequest(const InvariantLimits &Limits,
+                            Messages &Violations) const;
   [[nodiscard]] unsigned executionCount(const std::string &Id) const;
   [[nodiscard]] bool isUndisturbed(TimePoint From, TimePoint To) const;
 };
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -31,8 +31,9 @@
   --vms=N             Entry VMs [default: 6].
   --regressions=FILE  Runs the seeds of FILE first. Each line has a seed, the
                       seconds, and the cause of its failure.
-  --drills            Also plays a store that comes back older and upstreams that
-                      ask for quiet. Seeds draw other faults then.
+  --drills            Also plays a store that comes back older, upstreams that ask
+                      for quiet, and a request that ends its upstreams. Seeds
+                      draw other faults then.
   --keep              Keeps the directory of a seed without violations too.
 )";
 
@@ -61,7 +62,8 @@
       : m_Settings(Settings),
         m_Deployment(m_Io, m_Observed, planOf(Settings, Seed)),
         m_Callers(m_Io, m_Observed, m_Deployment.ports(), Seed),
-        m_FaultInjector(m_Io, m_Deployment, Seed, Settings.m_Drills) {}
+        m_FaultInjector(m_Io, m_Deployment, m_Callers, Seed,
+                        Settings.m_Drills) {}
 
   std::vector<std::string> run() {
     test::spawn(m_Io, [this]() { return runScenario(); });
@@ -147,7 +149,9 @@
               << (Status == 0 ? std::string("unanswered")
                               : std::to_string(Status))
               << ' ' << Count;
-  std::cout << std::endl;
+  std::cout << "; a request ended "
+            << Run.observations().m_CrashedByRequest.size() << " upstreams"
+            << std::endl;
 }
 
 /// \returns Whether there was no violation.
--- a/tests/soak/upstream_standin.cpp
+++ b/tests/soak/upstream_standin.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr std::string_view CrashingTarget = "/read/crash";
 constexpr Duration MinWork = 5ms;
 constexpr unsigned WorkSpreadMs = 30;
 /// Between two checks whether the caller left.
@@ -125,6 +126,12 @@
   std::uint64_t Incarnation = m_Incarnation;
   m_Observed.m_Executions[Id].push_back(
       {steadyNow(), m_Plan.m_Service, m_Plan.m_Id});
+  if (Connection->head().m_Target == CrashingTarget) {
+    m_Observed.m_CrashedByRequest.push_back(steadyNow());
+    crash();
+    m_OnCrashedByRequest();
+    co_return false;
+  }
   ++m_ActiveRequests;
   auto Work = std::chrono::duration_cast<Duration>(
       (MinWork + m_Rng(WorkSpreadMs) * 1ms) * m_Faults.m_SlowdownFactor);
--- a/tests/soak/upstream_standin.h
+++ b/tests/soak/upstream_standin.h
@@ -6,6 +6,7 @@
 #include "soak/observations.h"
 #include "soak/table_standin.h"
 
+#include <functional>
 #include <list>
 
 namespace mustardspoke::soak {
@@ -49,6 +50,8 @@
   [[nodiscard]] bool isRunning() const { return m_Acceptor.is_open(); }
   [[nodiscard]] const UpstreamPlan &plan() const { return m_Plan; }
   UpstreamFaults m_Faults;
+  /// Called when a request has ended it.
+  std::function<void()> m_OnCrashedByRequest;
 
 private:
   using ConnectionPtr = std::shared_ptr<test::ServerSide>;
