--- a/scripts/proof_report.sh
+++ b/scripts/proof_report.sh
@@ -3,9 +3,9 @@
 set -euo pipefail
 build=${1:-build}
 here=$(cd "$(dirname "$0")/.." && pwd)
-state() { # name of a process test
+state() { # name of a process test or a unit test
   local found
-  found=$(cat "$build"/processes-*.xml 2>/dev/null |
+  found=$(cat "$build"/processes-*.xml "$build"/unit.xml 2>/dev/null |
     sed 's/<TestCase/\n<TestCase/g' | grep -F "name=\"$1\"" |
     sed -n 's/.*result="\([a-z]*\)".*/\1/p' | head -1)
   if [ -z "$found" ] && grep -qw "$1" "$here/KNOWN-RED.txt" 2>/dev/null; then
@@ -13,6 +13,19 @@
   fi
   echo "${found:-not run}"
 }
+rows() { # file of cells that name tests and their controls
+  while IFS=$'\t' read -r flow fault invariant name control _; do
+    result=$(state "$name")
+    if [ "$result" = passed ]; then
+      result="passed, no control"
+      if [ "$control" != none ]; then
+        result=failed
+        [ "$(state "$control")" = passed ] && result=proved
+      fi
+    fi
+    echo "| $flow | $fault | $invariant | $name | $control | $result |"
+  done <"$1"
+}
 {
   echo "# Proof"
   echo
@@ -38,17 +51,15 @@
   echo
   echo "| flow | fault | invariant | test | control | state |"
   echo "|---|---|---|---|---|---|"
-  while IFS=$'\t' read -r flow fault invariant name control _; do
-    result=$(state "$name")
-    if [ "$result" = passed ]; then
-      result="passed, no control"
-      if [ "$control" != none ]; then
-        result=failed
-        [ "$(state "$control")" = passed ] && result=proved
-      fi
-    fi
-    echo "| $flow | $fault | $invariant | $name | $control | $result |"
-  done <"$here/tests/proof/process_cells.tsv"
+  rows "$here/tests/proof/process_cells.tsv"
+  echo
+  echo "## On the gateway's decisions"
+  echo
+  echo "Fleets in simulated time. Repeat one with \`build/unit-tests --run_test='*/NAME'\`."
+  echo
+  echo "| flow | fault | invariant | test | control | state |"
+  echo "|---|---|---|---|---|---|"
+  rows "$here/tests/proof/gateway_cells.tsv"
   echo
   echo "## Not run"
   echo
