Load model: one request crashes its upstreams

Pattern one-request-crashes-its-upstreams: copies of one request every 0.2 s for 10 s among ordinary callers; an upstream that ends returns after 3 s with an empty cache.

--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -16,6 +16,11 @@
 constexpr Duration HeartbeatInterval = 100ms;
 /// Chance that a VM of a large fleet hears a given peer in one interval.
 constexpr double LargeFleetHeartbeatChance = 0.1;
+/// From the begin of a crashing request to the end of its upstream.
+constexpr Duration TimeToCrash = 50ms;
+constexpr Duration UpstreamRestartTime = 3s;
+constexpr unsigned MaxUnreachable = 6; ///< Per request.
+constexpr unsigned CrashingKey = ~0U;
 
 } // namespace
 
@@ -29,6 +34,9 @@
   std::deque<RequestPtr> m_Waiting;
   std::list<unsigned> m_CachedKeys; ///< Most recently used first.
   bool m_Registered = false;
+  bool m_IsUp = true;
+  unsigned m_Starts = 1;
+  std::list<RequestPtr> m_AtWork;
 };
 
 /// \brief An entry VM and its view of the system.
@@ -36,6 +44,7 @@
   Placement m_Placement;
   UpstreamTable m_Upstreams;
   LocalShares m_Shares;
+  CrashSuspects m_Suspects;
 };
 
 /// \brief One request of a caller with all its attempts.
@@ -48,7 +57,14 @@
   double m_LoadBefore = 0;
   TimePoint m_SentAt;
   unsigned m_Refusals = 0;
+  unsigned m_Losses = 0;      ///< Upstreams that ended while they had it.
+  unsigned m_Unreachable = 0; ///< Upstreams that refused the connection.
   bool m_Done = false;
+
+  [[nodiscard]] bool isCrashing() const { return m_Key == CrashingKey; }
+  [[nodiscard]] RequestFingerprint fingerprint() const {
+    return makeFingerprint(m_Key, 0);
+  }
 };
 
 double LoadResult::worstRegion() const {
@@ -180,6 +196,7 @@
   Registration.m_Region = RegionName(Target.m_Region);
   Registration.m_Domain = FailureDomainName(Target.m_Region + "-a");
   Registration.m_Slots = m_Plan.m_Slots;
+  Registration.m_StartedMs = Target.m_Starts;
   (void)Vm.m_Upstreams.put(Registration, m_Events.m_Now);
   bool IsLocal = Vm.m_Placement.m_Region == Registration.m_Region;
   Vm.m_Upstreams.find(Target.m_Id)
@@ -221,6 +238,7 @@
   for (const auto &Vm : m_Vms) {
     Vm->m_Upstreams = UpstreamTable();
     Vm->m_Shares = LocalShares();
+    Vm->m_Suspects = CrashSuspects();
     for (const auto &Entry : m_Servers)
       if (Entry->m_Registered)
         registerUpstream(*Vm, *Entry);
@@ -314,6 +332,8 @@
         m_Plan.m_Regions[Current->m_Region].m_Name)
       LocalVms.push_back(Vm.get());
   EntryNode &Vm = *LocalVms[m_Rng(std::uint32_t(LocalVms.size()))];
+  if (!maySend(Vm, *Current))
+    return recordOutcome(Current, &LoadTally::m_Refused);
   const LocalShareTuning &ShareTuning = m_Plan.m_ShareTuning;
   Vm.m_Shares.deriveMissing(Service, Vm.m_Upstreams, Vm.m_Placement,
                             m_Events.m_Now, ShareTuning);
@@ -367,6 +387,9 @@
 void LoadModel::arriveAt(const RequestPtr &Current, Server &Target) {
   if (Current->m_Done)
     return;
+  if (!Target.m_IsUp)
+    return at(networkDelay(*Current, Target),
+              [this, Current] { handleUnreachable(Current); });
   if (Target.m_Running < m_Plan.m_Slots)
     return startWork(Current, Target);
   if (Target.m_Waiting.size() < m_Plan.m_QueueLimit) {
@@ -383,6 +406,12 @@
 
 void LoadModel::startWork(const RequestPtr &Current, Server &Target) {
   ++Target.m_Running;
+  Target.m_AtWork.push_back(Current);
+  if (Current->isCrashing())
+    return at(TimeToCrash, [this, &Target, Starts = Target.m_Starts] {
+      if (Target.m_Starts == Starts)
+        crash(Target);
+    });
   m_Result.m_Mixes[m_Plan.m_Regions[Current->m_Region].m_Name].record(
       Current->m_SentAt - m_FirstRequestAt, Target.m_Region);
   auto Found = std::find(Target.m_CachedKeys.begin(), Target.m_CachedKeys.end(),
@@ -399,11 +428,15 @@
                              (0.5 + uniform())));
   if (Uncached)
     m_Result.m_UncachedWork += Work;
-  at(Work, [this, Current, &Target] { finishWork(Current, Target); });
+  at(Work, [this, Current, &Target, Starts = Target.m_Starts] {
+    if (Target.m_Starts == Starts)
+      finishWork(Current, Target);
+  });
 }
 
 void LoadModel::finishWork(const RequestPtr &Current, Server &Target) {
   --Target.m_Running;
+  Target.m_AtWork.remove(Current);
   steer::LoadReport Load{Target.m_Running, unsigned(Target.m_Waiting.size()),
                          m_Plan.m_Slots};
   if (uniform() >= Target.m_LossRate)
@@ -422,6 +455,8 @@
   if (Current->m_Done)
     return;
   steer::Upstream &Target = *Current->m_Upstream;
+  (void)Current->m_Vm->m_Suspects.recordAnswer(Current->fingerprint(),
+                                               m_Events.m_Now);
   --Target.m_InFlight;
   Target.recordLoadReport(Load, m_Events.m_Now);
   Duration Work = Target.recordSuccess(
@@ -434,9 +469,89 @@
                     : &LoadTally::m_Late);
 }
 
+void LoadModel::sendCrashingRequest() {
+  auto Current = std::make_shared<Request>();
+  Current->m_Region = m_Rng(std::uint32_t(m_Plan.m_Regions.size()));
+  Current->m_Key = CrashingKey;
+  Current->m_ArrivedAt = m_Events.m_Now;
+  dispatch(Current);
+}
+
+bool LoadModel::maySend(EntryNode &Vm, const Request &Current) {
+  if (!m_Plan.m_KnowsCrashingRequests)
+    return true;
+  unsigned Turn = 0;
+  while (m_Vms[Turn].get() != &Vm)
+    ++Turn;
+  CrashVerdict Verdict = Vm.m_Suspects.verdict(
+      Current.fingerprint(), m_Events.m_Now, {Turn, Turn}, true);
+  if (Verdict == CrashVerdict::Trial)
+    Vm.m_Suspects.beginTrial(Current.fingerprint(), m_Events.m_Now);
+  return Verdict == CrashVerdict::Send || Verdict == CrashVerdict::Trial;
+}
+
+void LoadModel::crash(Server &Target) {
+  ++m_Result.m_Crashes;
+  ++Target.m_Starts;
+  Target.m_IsUp = false;
+  Target.m_Running = 0;
+  Target.m_CachedKeys.clear();
+  std::list<RequestPtr> Lost = std::exchange(Target.m_AtWork, {});
+  for (const RequestPtr &Waiting : std::exchange(Target.m_Waiting, {}))
+    Lost.push_back(Waiting);
+  for (const RequestPtr &Current : Lost)
+    at(networkDelay(*Current, Target),
+       [this, Current] { handleLoss(Current); });
+  at(UpstreamRestartTime, [this, &Target] {
+    Target.m_IsUp = true;
+    for (const auto &Vm : m_Vms)
+      registerUpstream(*Vm, Target);
+  });
+}
+
+void LoadModel::handleLoss(const RequestPtr &Current) {
+  if (Current->m_Done)
+    return;
+  steer::Upstream &Target = *Current->m_Upstream;
+  --Target.m_InFlight;
+  Target.recordEnd(m_Events.m_Now, m_Plan.m_Tuning.m_HealthTuning);
+  EntryNode &Vm = *Current->m_Vm;
+  UpstreamRunKey Run = runKey(Target.m_Registration);
+  Vm.m_Suspects.recordLoss(Current->fingerprint(), Run, m_Events.m_Now);
+  at(2 * m_Plan.m_RemoteDelay, [this, &Vm, Run] {
+    (void)Vm.m_Suspects.confirmEnd(Run, m_Events.m_Now);
+    shareCrashReports(Vm);
+  });
+  if (++Current->m_Losses > 1)
+    return recordOutcome(Current, &LoadTally::m_Lost);
+  dispatch(Current);
+}
+
+void LoadModel::handleUnreachable(const RequestPtr &Current) {
+  if (Current->m_Done)
+    return;
+  --Current->m_Upstream->m_InFlight;
+  (void)Current->m_Upstream->recordFailure(m_Events.m_Now,
+                                           m_Plan.m_Tuning.m_HealthTuning);
+  if (++Current->m_Unreachable > MaxUnreachable)
+    return recordOutcome(Current, &LoadTally::m_Refused);
+  dispatch(Current);
+}
+
+void LoadModel::shareCrashReports(const EntryNode &Vm) {
+  auto Reports = Vm.m_Suspects.reportsToSend(m_Events.m_Now, 0);
+  at(m_Plan.m_RemoteDelay, [this, Reports = std::move(Reports)] {
+    for (const auto &Receiver : m_Vms)
+      for (const CrashReport &Report : Reports)
+        (void)Receiver->m_Suspects.merge(Report, m_Events.m_Now);
+  });
+}
+
 void LoadModel::recordOutcome(const RequestPtr &Current,
                               unsigned LoadTally::*Outcome) {
   Current->m_Done = true;
+  if (Current->isCrashing())
+    return;
   auto Second = std::size_t((Current->m_ArrivedAt - m_FirstRequestAt) / 1s);
   for (LoadTally *Tally :
        {&m_Result.m_All,
@@ -501,6 +616,11 @@
        [](LoadModel &Model) {
          Model.at(8s, [&Model] { Model.restartVms(); });
        }},
+      {"one-request-crashes-its-upstreams",
+       [](LoadModel &Model) {
+         for (Duration When = 6s; When < 16s; When += 200ms)
+           Model.at(When, [&Model] { Model.sendCrashingRequest(); });
+       }},
       {"burst-and-slow-tenth", [](LoadModel &Model) {
          Model.at(6s, [&Model] { Model.setSlowness("large", 1, 6); });
          Model.at(8s, [&Model] { Model.setLoad("large", 3); });
--- a/tests/support/load_model.h
+++ b/tests/support/load_model.h
@@ -54,6 +54,9 @@
   steer::ChoiceTuning m_Tuning;
   steer::LocalShareTuning m_ShareTuning;
   bool m_LargeFleet = false; ///< See LocalShares::update().
+  /// Whether entry VMs recognise requests that end their upstreams; without it,
+  /// such a request is tried at another upstream like any other.
+  bool m_KnowsCrashingRequests = true;
   std::uint64_t m_Seed = 1;
 };
 
@@ -98,6 +101,7 @@
   std::map<std::string, LoadTally> m_ByRegion; ///< By region of the caller.
   std::vector<LoadTally> m_BySecond;           ///< By time of arrival.
   Duration m_UncachedWork{}; ///< Processing time spent on uncached keys.
+  unsigned m_Crashes = 0;    ///< Upstreams that ended under a request.
   std::map<std::string, RegionMix> m_Mixes; ///< By region of the caller.
   Duration m_Length{};                      ///< See LoadPlan.
 
@@ -127,6 +131,9 @@
   void setLoss(const std::string &Region, unsigned Count, double Fraction);
   /// \brief Clears the key caches of the upstreams of \p Region.
   void clearCaches(const std::string &Region);
+  /// \brief Sends a request that ends each upstream which begins to run it, to
+  /// a VM of a random region. It isn't part of the tallies.
+  void sendCrashingRequest();
   /// \brief Restarts every entry VM without any learned state.
   void restartVms();
 
@@ -145,6 +152,15 @@
   void startWork(const RequestPtr &Current, Server &Target);
   void finishWork(const RequestPtr &Current, Server &Target);
   void handleAnswer(const RequestPtr &Current, steer::LoadReport Load);
+  /// \brief Ends an upstream; it starts again some seconds later.
+  void crash(Server &Target);
+  void handleLoss(const RequestPtr &Current);
+  /// \brief The upstream's address refuses connections.
+  void handleUnreachable(const RequestPtr &Current);
+  /// \brief Tells the other VMs what \p Vm knows of crashing requests.
+  void shareCrashReports(const EntryNode &Vm);
+  /// \returns Whether \p Vm may send the request.
+  [[nodiscard]] bool maySend(EntryNode &Vm, const Request &Current);
   void exchangeLoads();
   void scheduleRegistrations();
   void registerUpstream(EntryNode &Vm, Server &Target);
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -234,6 +234,28 @@
   }
 }
 
+// Guards against a request that takes the other requests' upstreams down with
+// it. The control doesn't recognise it.
+BOOST_AUTO_TEST_CASE(OneRequestThatCrashesItsUpstreamsSparesTheOthers) {
+  constexpr const char *Pattern = "one-request-crashes-its-upstreams";
+  LoadPlan Blind;
+  Blind.m_KnowsCrashingRequests = false;
+  LoadResult Current = runPattern(Pattern, steer::chooseByKeyLocalFirst);
+  LoadResult Control = runPattern(Pattern, steer::chooseByKeyLocalFirst, Blind);
+  LoadResult Calm = runPattern("calm", steer::chooseByKeyLocalFirst);
+  BOOST_TEST_MESSAGE("ended " << Current.m_Crashes << ", control "
+                              << Control.m_Crashes << "; in target "
+                              << Current.m_All.inTarget() << ", control "
+                              << Control.m_All.inTarget() << ", calm "
+                              << Calm.m_All.inTarget());
+  // Three upstreams, and three retries.
+  BOOST_TEST(Current.m_Crashes <= 6U);
+  BOOST_TEST(Control.m_Crashes > 6U);
+  BOOST_TEST(Current.m_All.inTarget() > Control.m_All.inTarget());
+  BOOST_TEST(Current.m_All.m_Lost < Control.m_All.m_Lost);
+  BOOST_TEST(Current.m_All.m_Refused < Control.m_All.m_Refused);
+}
+
 // Without refusals, queues at the upstreams delay all requests beyond the
 // target.
 BOOST_AUTO_TEST_CASE(OverloadInAllRegionsRefusesEarlyAndAnswersInTime) {
