The row of a crashing request is removed once an upstream has answered it

Callers would have seen: after a request was confirmed, its upstreams repaired and the request answered, a VM that started read its row and refused it again. Cause: the callback that removes the row was never installed; the test called the removal itself. Found by reading the diff. Class: a mechanism tested beside its wiring. Why it works: the replica installs both callbacks itself, and the tests go through them. Also: a request that is known but not suspected costs no order of the VMs; trials of requests with two ends keep the order of the VMs that carry traffic; peers get no news when a run ends that no request was lost with.

--- a/src/gateway/crash_report.cpp
+++ b/src/gateway/crash_report.cpp
@@ -94,7 +94,9 @@
 
 void confirmEnd(GatewayState &State, UpstreamRunKey Run,
                 std::string_view Source) {
-  if (State.m_OnCrashNews && State.m_CrashSuspects.size() > 0)
+  if (!State.m_CrashSuspects.knowsRun(Run))
+    return;
+  if (State.m_OnCrashNews)
     State.m_OnCrashNews();
   for (RequestFingerprint Request :
        State.m_CrashSuspects.confirmEnd(Run, steadyNow())) {
--- a/src/gateway/crash_rows.cpp
+++ b/src/gateway/crash_rows.cpp
@@ -22,6 +22,19 @@
 
 } // namespace
 
+void StoreReplica::followCrashReports() {
+  m_State.m_OnCrashConfirmed = [this](RequestFingerprint Request) {
+    asio::co_spawn(
+        m_State.m_Io, [this, Request]() { return publishCrashRow(Request); },
+        asio::detached);
+  };
+  m_State.m_OnCrashCleared = [this](RequestFingerprint Request) {
+    asio::co_spawn(
+        m_State.m_Io, [this, Request]() { return removeCrashRow(Request); },
+        asio::detached);
+  };
+}
+
 bool StoreReplica::hasCrashRow(RequestFingerprint Request) const {
   auto Rows = m_RowCaches.find(m_State.m_Decoder.m_Tables.m_Vms);
   if (Rows == m_RowCaches.end())
--- a/src/gateway/exchange_crashes.cpp
+++ b/src/gateway/exchange_crashes.cpp
@@ -28,7 +28,7 @@
 
 CrashVerdict Exchange::crashVerdict() const {
   auto Request = fingerprint();
-  if (!Request)
+  if (!Request || !m_State.m_CrashSuspects.isSuspected(*Request))
     return CrashVerdict::Send;
   TimePoint Now = steadyNow();
   const Fleet &Vms = m_State.m_Fleet;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -357,11 +357,6 @@
        {"peers", Settings.m_PeerAddress},
        {"incarnation", std::to_string(m_State.m_Fleet.m_Self.m_Incarnation)}});
   armSignals();
-  m_State.m_OnCrashConfirmed = [this](RequestFingerprint Request) {
-    asio::co_spawn(
-        m_Io, [this, Request]() { return m_Replica.publishCrashRow(Request); },
-        asio::detached);
-  };
   m_Replica.start();
   asio::co_spawn(
       m_Io, [this]() { return m_Replica.publishDiscoveryRow(); },
--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -59,6 +59,7 @@
 }
 
 void StoreReplica::start() {
+  followCrashReports();
   const StoreTables &Tables = m_State.m_Decoder.m_Tables;
   struct TableSchedule {
     std::string m_Table;
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -61,13 +61,6 @@
   /// \brief Metrics of the replica in the Prometheus text exposition format.
   [[nodiscard]] std::string exposition() const;
 
-  /// \brief Writes the row of a request that is confirmed to end its upstreams,
-  /// unless a VM has done so. VMs that start learn of it, also if no other one
-  /// is left.
-  awaitable<void> publishCrashRow(RequestFingerprint Request);
-  /// \brief Removes the row of a request that an upstream has answered.
-  awaitable<void> removeCrashRow(RequestFingerprint Request);
-
   /// \brief Writes this VM's discovery row, or removes it.
   awaitable<void> publishDiscoveryRow();
   awaitable<void> removeDiscoveryRow();
@@ -110,6 +103,15 @@
   void applyUpstreamRow(const StoreRow &Row, bool Tentative);
   void applyVmRow(const StoreRow &Row);
   void applyCrashRow(const StoreRow &Row);
+  /// \brief Has rows of crashing requests written and removed as this VM learns
+  /// of them.
+  void followCrashReports();
+  /// \brief Writes the row of a request that is confirmed to end its upstreams,
+  /// unless a VM has done so. VMs that start learn of it, also if no other one
+  /// is left.
+  awaitable<void> publishCrashRow(RequestFingerprint Request);
+  /// \brief Removes the row of a request that an upstream has answered.
+  awaitable<void> removeCrashRow(RequestFingerprint Request);
   /// \brief Writes the rows of crashing requests that the store's new era
   /// lacks.
   awaitable<void> restoreCrashRows();
--- a/src/steer/crash_suspects.cpp
+++ b/src/steer/crash_suspects.cpp
@@ -64,13 +64,13 @@
 
 void CrashSuspects::dropAnswered(Entry &Known) {
   std::erase_if(Known.m_Ends, [&Known](const End &Each) {
-    return Each.m_At <= Known.m_AnsweredAt + AnswerSlack;
+    return Each.m_At <= Known.m_AnsweredAt + AgeSlack;
   });
 }
 
 bool CrashSuspects::addEnd(Entry &Known, const End &Added) {
   if (Known.m_AnsweredAt != TimePoint() &&
-      Added.m_At <= Known.m_AnsweredAt + AnswerSlack)
+      Added.m_At <= Known.m_AnsweredAt + AgeSlack)
     return false;
   auto Same = std::ranges::find(Known.m_Ends, Added.m_Run, &End::m_Run);
   if (Same != Known.m_Ends.end()) {
@@ -169,7 +169,7 @@
   const Entry Before = Known;
   bool Changed = false;
   if (Report.m_AnswerAge &&
-      Now - *Report.m_AnswerAge > Known.m_AnsweredAt + AnswerSlack) {
+      Now - *Report.m_AnswerAge > Known.m_AnsweredAt + AgeSlack) {
     Known.m_AnsweredAt = Now - *Report.m_AnswerAge;
     dropAnswered(Known);
     if (Known.m_Ends.empty())
@@ -181,7 +181,7 @@
         addEnd(Known, {Told.m_Run, Now - Told.m_Age, EndState::Verified});
   // A trial that another VM tells of was sent after the ends it tells of.
   if (Report.m_TrialAge &&
-      Now - *Report.m_TrialAge > Known.m_TrialAt + AnswerSlack &&
+      Now - *Report.m_TrialAge > Known.m_TrialAt + AgeSlack &&
       !Known.m_Ends.empty()) {
     Known.m_TrialAt = Now - *Report.m_TrialAge;
     ++Known.m_Trials;
@@ -195,6 +195,13 @@
   return changeSince(Before, Known);
 }
 
+bool CrashSuspects::knowsRun(UpstreamRunKey Run) const {
+  return std::ranges::any_of(m_Entries, [Run](const auto &Each) {
+    return std::ranges::find(Each.second.m_Ends, Run, &End::m_Run) !=
+           Each.second.m_Ends.end();
+  });
+}
+
 bool CrashSuspects::knowsHead(std::uint32_t HeadDigest) const {
   auto First = m_Entries.lower_bound(makeFingerprint(HeadDigest, 0));
   return First != m_Entries.end() && First->first >> 32 == HeadDigest;
@@ -212,9 +219,11 @@
     return CrashVerdict::Send;
   Duration Step =
       IsSmallFleet ? m_Tuning.m_TrialStep : m_Tuning.m_LargeFleetTrialStep;
-  bool IsFirst = Known.m_TrialStage == 0;
+  bool FewTrialsLeft =
+      Verified >= m_Tuning.m_EndsForRefusal && Known.m_TrialStage > 0;
   Duration TurnDelay =
-      Step * std::int64_t(IsFirst ? Turn.m_AmongCarriers : Turn.m_AmongAll);
+      Step *
+      std::int64_t(FewTrialsLeft ? Turn.m_AmongAll : Turn.m_AmongCarriers);
   TimePoint Due = Known.lastEndAt() + TurnDelay;
   if (Verified >= m_Tuning.m_EndsForRefusal) {
     if (Known.m_TrialStage >= m_Tuning.m_TrialDelays.size())
--- a/src/steer/crash_suspects.h
+++ b/src/steer/crash_suspects.h
@@ -125,6 +125,12 @@
   void recordRefusal(RequestFingerprint Request, TimePoint Now);
   /// \brief Notes that this VM sends the request as a trial.
   void beginTrial(RequestFingerprint Request, TimePoint Now);
+  /// \brief Whether any request was lost with this run.
+  [[nodiscard]] bool knowsRun(UpstreamRunKey Run) const;
+  /// \brief Whether it takes a verdict to send the request.
+  [[nodiscard]] bool isSuspected(RequestFingerprint Request) const {
+    return endsOf(Request) >= m_Tuning.m_EndsForTrial;
+  }
   /// \brief Different runs that ended under the request.
   [[nodiscard]] unsigned endsOf(RequestFingerprint Request) const;
   /// \brief Whether enough upstreams ended, and a trial was made.
@@ -166,9 +172,9 @@
     [[nodiscard]] TimePoint lastEndAt() const;
   };
 
-  /// An answer also removes ends that are this much later, as ages that pass
-  /// through other VMs are inexact.
-  static constexpr Duration AnswerSlack = 200ms;
+  /// Ages that pass through other VMs are inexact by this much; an answer also
+  /// removes ends that are this much later.
+  static constexpr Duration AgeSlack = 200ms;
   /// A refuted end may be confirmed within this time.
   static constexpr Duration RefutedLifetime = 10s;
   /// Answers are remembered for this long, as peers may still tell of earlier
--- a/tests/unit/crash_rows_test.cpp
+++ b/tests/unit/crash_rows_test.cpp
@@ -69,12 +69,10 @@
   void publish(RequestFingerprint Request) {
     for (UpstreamRunKey Run : {1U, 2U, 3U}) {
       m_State.m_CrashSuspects.recordLoss(Request, Run, steadyNow());
-      (void)m_State.m_CrashSuspects.confirmEnd(Run, steadyNow());
+      if (Run == 3)
+        m_State.m_CrashSuspects.beginTrial(Request, steadyNow());
+      confirmEnd(m_State, Run, "test");
     }
-    m_State.m_CrashSuspects.beginTrial(Request, steadyNow());
-    asio::co_spawn(
-        m_Io, [this, Request]() { return m_Replica.publishCrashRow(Request); },
-        asio::detached);
     runFor(std::chrono::milliseconds(5));
   }
   [[nodiscard]] bool refuses(RequestFingerprint Request) const {
@@ -134,10 +132,7 @@
   Vm.publish(Deadly);
   StoreUser Other(Store);
   BOOST_TEST(Other.refuses(Deadly));
-  (void)Other.m_State.m_CrashSuspects.recordAnswer(Deadly, steadyNow());
-  asio::co_spawn(
-      Other.m_Io, [&Other]() { return Other.m_Replica.removeCrashRow(Deadly); },
-      asio::detached);
+  reportAnswer(Other.m_State, Deadly, "test");
   Other.runFor(std::chrono::milliseconds(5));
   BOOST_TEST(Store.m_Rows.empty());
   BOOST_TEST(!StoreUser(Store).refuses(Deadly));
