--- a/tests/unit/crash_suspects_test.cpp
+++ b/tests/unit/crash_suspects_test.cpp
@@ -30,7 +30,7 @@
 
   /// \brief Starts a VM anew; it reads the store.
   void restart(unsigned Index) {
-    m_Vms[Index] = {};
+    m_Vms[Index] = Vm();
     m_Vms[Index].m_StartedAt = m_Now;
     for (const CrashReport &Row : m_StoreRows)
       (void)m_Vms[Index].m_Suspects.merge(Row, m_Now);
