Rows that were removed before a VM's first read don't return from a peer

Cause: VMs that start read the store, which no longer has the row, and then fetch rows from a peer that hasn't heard of the removal. Only keys whose removal a VM has seen were protected. Class: an incomplete view passed on as the state of the system. Why it works: a full read holds all rows of its version. A row with an unknown key and an older version was removed before, whoever passes it on; in another era the read says nothing of it.

--- a/src/steer/row_cache.cpp
+++ b/src/steer/row_cache.cpp
@@ -8,13 +8,19 @@
 namespace mustardspoke::steer {
 
 bool RowCache::put(const StoreRow &Row) {
-  StoreRow &Known = m_Rows[Row.m_Key];
-  if (Known.m_Version >= Row.m_Version)
+  auto Found = m_Rows.find(Row.m_Key);
+  if (Found != m_Rows.end() ? Found->second.m_Version >= Row.m_Version
+                            : wasRemovedBeforeTheFirstRead(Row))
     return false;
-  Known = Row;
+  m_Rows[Row.m_Key] = Row;
   return true;
 }
 
+bool RowCache::wasRemovedBeforeTheFirstRead(const StoreRow &Unknown) const {
+  return eraOf(Unknown.m_Version) == eraOf(m_FirstFullRead) &&
+         Unknown.m_Version <= m_FirstFullRead;
+}
+
 std::vector<std::string> RowCache::missingKeys(const std::vector<StoreRow> &All,
                                                std::uint64_t AsOf) const {
   std::set<std::string_view> Present;
--- a/src/steer/row_cache.h
+++ b/src/steer/row_cache.h
@@ -49,6 +49,11 @@
   }
 
 private:
+  /// \brief Whether a row whose key isn't known is older than the first full
+  /// read, which didn't contain it. A peer may not have heard of its removal.
+  [[nodiscard]] bool
+  wasRemovedBeforeTheFirstRead(const StoreRow &Unknown) const;
+
   /// Removed keys are kept, marked as removed, with the version of the removal.
   std::map<std::string, StoreRow> m_Rows;
   std::uint64_t m_SyncedVersion = 0;
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -97,6 +97,20 @@
   BOOST_TEST(Cache.put({"t", "a", "v", 13, false}));
 }
 
+// Guards against requests to an upstream that has left: a VM started after the
+// removal, read the store, and then took the row from a peer that hadn't heard
+// of it.
+BOOST_AUTO_TEST_CASE(RowRemovedBeforeTheFirstFullReadDoesNotComeFromAPeer) {
+  RowCache Cache;
+  (void)Cache.put({"t", "a", "v", storePosition(1, 90), false});
+  Cache.recordFullRead(storePosition(1, 100));
+  BOOST_TEST(!Cache.put({"t", "gone", "v", storePosition(1, 55), false}));
+  BOOST_TEST(!Cache.rows().contains("gone"));
+  BOOST_TEST(Cache.put({"t", "gone", "v", storePosition(1, 101), false}));
+  // In another era, the read says nothing of the row.
+  BOOST_TEST(Cache.put({"t", "later", "v", storePosition(2, 7), false}));
+}
+
 // Guards against skipped changes: the second page of a long full read was newer
 // than a change in the first page, so the VM's peers never asked for that
 // change.
