--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -25,6 +25,16 @@
 
 } // namespace
 
+std::string safeRequest(const std::string &Id, const std::string &ExtraFields) {
+  return "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n" +
+         ExtraFields + "\r\n";
+}
+std::string unsafeRequest(const std::string &Id,
+                          const std::string &ExtraFields) {
+  return "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n" +
+         ExtraFields + "Content-Length: 2\r\n\r\nhi";
+}
+
 ExchangeRig::ExchangeRig()
     : m_State(m_Io, GatewaySettings(), platform::wireFormat(),
               platform::decoder()),
--- a/tests/support/exchange_rig.h
+++ b/tests/support/exchange_rig.h
@@ -11,6 +11,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace mustardspoke::test {
@@ -18,6 +19,13 @@
 /// \brief Behaviour of an upstream on each of its connections.
 using Script = std::function<steer::awaitable<void>(ServerSide &)>;
 
+/// \brief Requests on the routes of ExchangeRig. \p ExtraFields holds further
+/// header lines with their line ends.
+[[nodiscard]] std::string safeRequest(const std::string &Id,
+                                      const std::string &ExtraFields = "");
+[[nodiscard]] std::string unsafeRequest(const std::string &Id,
+                                        const std::string &ExtraFields = "");
+
 /// \brief A gateway with the routes "/safe/" and "/unsafe/", scripted upstreams
 /// and callers, all on one event loop.
 class ExchangeRig {
--- a/tests/unit/dead_connection_test.cpp
+++ b/tests/unit/dead_connection_test.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-std::string get(const std::string &Id) {
-  return "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n\r\n";
-}
-
 /// \brief Drops the packets of a link for a part of the time.
 awaitable<void> dropBetween(asio::io_context &Io, UpstreamBehindALink &Link,
                             Duration From, Duration To) {
@@ -35,7 +31,7 @@
   UpstreamBehindALink Upstream(Rig, 2600ms);
   spawn(Rig.m_Io,
         [&]() { return dropBetween(Rig.m_Io, Upstream, 500ms, 1800ms); });
-  BOOST_TEST(Rig.ask(get("a")).m_Head.m_Status == 200U);
+  BOOST_TEST(Rig.ask(safeRequest("a")).m_Head.m_Status == 200U);
 }
 
 // A kept connection whose other end has vanished: the request isn't
@@ -43,7 +39,7 @@
 BOOST_AUTO_TEST_CASE(UnacknowledgedRequestIsSentElsewhere) {
   ExchangeRig Rig;
   UpstreamBehindALink Upstream(Rig);
-  BOOST_TEST(Rig.ask(get("a")).m_Head.m_Status == 200U);
+  BOOST_TEST(Rig.ask(safeRequest("a")).m_Head.m_Status == 200U);
   Rig.upstream("v", [](ServerSide &Side) -> awaitable<void> {
     for (;;) {
       std::string Id = co_await Side.readRequest();
@@ -55,7 +51,7 @@
   Upstream.dropPackets(true);
   for (const char *Id : {"b", "c", "d", "e"}) {
     TimePoint AskedAt = steadyNow();
-    BOOST_TEST(Rig.ask(get(Id)).m_Head.m_Status == 200U);
+    BOOST_TEST(Rig.ask(safeRequest(Id)).m_Head.m_Status == 200U);
     BOOST_TEST((steadyNow() - AskedAt < 2s));
   }
 }
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -14,15 +14,6 @@
 
 namespace {
 
-std::string get(const std::string &Id, const std::string &ExtraFields = "") {
-  return "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n" +
-         ExtraFields + "\r\n";
-}
-std::string post(const std::string &Id, const std::string &ExtraFields = "") {
-  return "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n" +
-         ExtraFields + "Content-Length: 2\r\n\r\nhi";
-}
-
 /// \brief Answers every request with the request's identifier as body.
 awaitable<void> echo(ServerSide &Side) {
   for (;;) {
@@ -84,7 +75,7 @@
     co_await Side.respond("somebody-else", "wrong");
     co_await Side.respond(Id, "right");
   });
-  HttpResponse Response = R.ask(get("a"));
+  HttpResponse Response = R.ask(safeRequest("a"));
   BOOST_TEST(Response.m_Body == "right");
 }
 
@@ -100,9 +91,9 @@
     }
   });
   std::vector<HttpResponse> Responses;
-  R.caller(get("a"), 1, Responses);
+  R.caller(safeRequest("a"), 1, Responses);
   R.run();
-  R.caller(get("b"), 1, Responses);
+  R.caller(safeRequest("b"), 1, Responses);
   R.run();
   BOOST_REQUIRE(Responses.size() == 2);
   BOOST_TEST(Responses[1].m_Body == "b");
@@ -121,13 +112,13 @@
         return chooseByKeyLocalFirst(Input, Table, Local, Tuning);
       };
   for (int I = 0; I < 4; ++I) {
-    HttpResponse Response = R.ask(get("a"));
+    HttpResponse Response = R.ask(safeRequest("a"));
     Hog.releaseAll();
     BOOST_TEST(Response.m_Head.m_Status == 503U);
   }
   BOOST_TEST(!R.m_State.m_Upstreams.find("u")->isEjected(steadyNow()));
   R.m_State.m_Strategies = {};
-  BOOST_TEST(R.ask(get("b")).m_Head.m_Status == 200U);
+  BOOST_TEST(R.ask(safeRequest("b")).m_Head.m_Status == 200U);
 }
 
 BOOST_AUTO_TEST_CASE(UnsafeRequestWithALostResponseIsNotRetried) {
@@ -140,7 +131,7 @@
   };
   R.upstream("u", LoseResponse);
   R.upstream("v", LoseResponse);
-  HttpResponse Response = R.ask(post("a"));
+  HttpResponse Response = R.ask(unsafeRequest("a"));
   BOOST_TEST(Response.m_Head.m_Status == 502U);
   BOOST_TEST(Runs == 1U);
 }
@@ -157,7 +148,7 @@
   };
   R.upstream("u", Serve);
   R.upstream("v", Serve);
-  HttpResponse Response = R.ask(get("a"));
+  HttpResponse Response = R.ask(safeRequest("a"));
   BOOST_TEST(Response.m_Body == "second");
 }
 
@@ -170,7 +161,7 @@
   };
   R.upstream("u", Refuse);
   R.upstream("v", Refuse);
-  HttpResponse Response = R.ask(post("a"));
+  HttpResponse Response = R.ask(unsafeRequest("a"));
   BOOST_TEST(Response.m_Head.m_Status == 503U);
   BOOST_TEST(Response.m_Head.find("Retry-After") != nullptr);
 }
@@ -190,10 +181,10 @@
                             "\r\nlast");
     }
   });
-  BOOST_TEST(R.ask(get("a")).m_Body == "last");
+  BOOST_TEST(R.ask(safeRequest("a")).m_Body == "last");
   R.upstream("v", echo);
   for (const char *Id : {"b", "c", "d", "e"})
-    BOOST_TEST(R.ask(get(Id)).m_Body == Id);
+    BOOST_TEST(R.ask(safeRequest(Id)).m_Body == Id);
   BOOST_TEST(Requests == 1U);
 }
 
@@ -208,14 +199,14 @@
     }
   });
   for (const char *Id : {"a", "b", "c"}) {
-    HttpResponse Response = R.ask(post(Id));
+    HttpResponse Response = R.ask(unsafeRequest(Id));
     BOOST_TEST(Response.m_Head.m_Status == 503U);
     BOOST_REQUIRE(Response.m_Head.find("Retry-After") != nullptr);
     BOOST_TEST(std::stod(*Response.m_Head.find("Retry-After")) > 29.0);
   }
   BOOST_TEST(Requests == 1U);
   R.upstream("v", echo);
-  BOOST_TEST(R.ask(get("d")).m_Body == "d");
+  BOOST_TEST(R.ask(safeRequest("d")).m_Body == "d");
   BOOST_TEST(Requests == 1U);
 }
 
@@ -226,7 +217,7 @@
     co_await Side.sendRaw("HTTP/1.1 503 Busy\r\nX-Request-Id: " + Id +
                           "\r\nContent-Length: 0\r\n\r\n");
   });
-  HttpResponse Response = R.ask(post("a"));
+  HttpResponse Response = R.ask(unsafeRequest("a"));
   BOOST_TEST(Response.m_Head.m_Status == 502U);
 }
 
@@ -242,7 +233,7 @@
   };
   R.upstream("u", Truncate);
   R.upstream("v", Truncate);
-  HttpResponse Response = R.ask(get("a"));
+  HttpResponse Response = R.ask(safeRequest("a"));
   BOOST_TEST(Response.m_Head.m_Status == 502U);
 }
 
@@ -252,7 +243,7 @@
     (void)co_await Side.readRequest();
     co_await Side.sendRaw("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake");
   });
-  HttpResponse Response = R.ask(post("a"));
+  HttpResponse Response = R.ask(unsafeRequest("a"));
   BOOST_TEST(Response.m_Head.m_Status == 502U);
 }
 
@@ -262,7 +253,7 @@
     (void)co_await Side.readRequest();
     (void)co_await Side.readRequest(); // Never answers.
   });
-  HttpResponse Response = R.ask(get("a", "X-Deadline-Ms: 100\r\n"));
+  HttpResponse Response = R.ask(safeRequest("a", "X-Deadline-Ms: 100\r\n"));
   BOOST_TEST(Response.m_Head.m_Status == 504U);
 }
 
@@ -274,7 +265,7 @@
     Ended = (co_await Side.readRequest()).empty();
   });
   std::vector<HttpResponse> Responses;
-  R.caller(get("a"), 1, Responses, 100ms);
+  R.caller(safeRequest("a"), 1, Responses, 100ms);
   R.run();
   for (int I = 0; I < 100 && !Ended; ++I)
     R.m_Io.run_one_for(std::chrono::milliseconds(20));
@@ -294,7 +285,7 @@
     co_await Side.respond(Id, Id);
   });
   std::vector<HttpResponse> Responses;
-  R.caller(get("a") + get("b"), 2, Responses);
+  R.caller(safeRequest("a") + safeRequest("b"), 2, Responses);
   R.run();
   BOOST_REQUIRE(Responses.size() == 2);
   BOOST_TEST(Responses[0].m_Body == "a");
@@ -316,7 +307,7 @@
     co_await Side.respond(Id, Id);
   });
   std::vector<HttpResponse> Responses;
-  R.caller(get("a") + post("b"), 2, Responses);
+  R.caller(safeRequest("a") + unsafeRequest("b"), 2, Responses);
   R.run();
   BOOST_TEST(Responses.size() == 2);
   BOOST_TEST(!Early);
@@ -341,10 +332,11 @@
   std::vector<HttpResponse> Responses;
   // The fast response waits for the slow one; its connection goes back to the
   // pool.
-  R.caller(get("slow") + get("fast"), 2, CancelledResponses, 200ms);
+  R.caller(safeRequest("slow") + safeRequest("fast"), 2, CancelledResponses,
+           200ms);
   asio::steady_timer Later(R.m_Io, 100ms);
   Later.async_wait(
-      [&](const NetError &) { R.caller(post("c"), 1, Responses); });
+      [&](const NetError &) { R.caller(unsafeRequest("c"), 1, Responses); });
   R.run();
   R.run();
   BOOST_REQUIRE(Responses.size() == 1);
@@ -357,14 +349,14 @@
   R.upstream("u", echo);
   R.m_State.m_Leaving = true;
   std::vector<HttpResponse> Responses;
-  R.caller(get("a") + get("b"), 2, Responses);
+  R.caller(safeRequest("a") + safeRequest("b"), 2, Responses);
   R.run();
   BOOST_REQUIRE(Responses.size() == 2);
   BOOST_TEST(Responses[0].m_Head.m_KeepAlive);
   BOOST_TEST(!Responses[1].m_Head.m_KeepAlive);
   R.m_State.m_AcceptsRequests = false;
   Responses.clear();
-  R.caller(post("c"), 1, Responses);
+  R.caller(unsafeRequest("c"), 1, Responses);
   R.run();
   BOOST_REQUIRE(Responses.size() == 1);
   BOOST_TEST(Responses[0].m_Head.m_Status == 503U);
@@ -379,7 +371,7 @@
   R.m_State.m_StartedAt = steadyNow();
   asio::steady_timer FirstRead(R.m_Io, std::chrono::milliseconds(50));
   FirstRead.async_wait([&](const NetError &) { R.m_State.m_Routes = Routes; });
-  BOOST_TEST(R.ask(get("a")).m_Body == "a");
+  BOOST_TEST(R.ask(safeRequest("a")).m_Body == "a");
 }
 
 BOOST_AUTO_TEST_CASE(MissingConfigurationIsReportedAtOnceAfterTheStart) {
@@ -388,7 +380,7 @@
   R.m_State.m_Routes = nullptr;
   R.m_State.m_StartedAt = steadyNow() - 10s;
   TimePoint AskedAt = steadyNow();
-  BOOST_TEST(R.ask(get("a")).m_Head.m_Status == 503U);
+  BOOST_TEST(R.ask(safeRequest("a")).m_Head.m_Status == 503U);
   BOOST_TEST((steadyNow() - AskedAt < 400ms));
 }
 
@@ -399,7 +391,7 @@
            Responses);
   R.run();
   R.m_State.m_Routes = nullptr;
-  R.caller(get("b"), 1, Responses);
+  R.caller(safeRequest("b"), 1, Responses);
   R.run();
   BOOST_REQUIRE(Responses.size() == 2);
   BOOST_TEST(Responses[0].m_Head.m_Status == 404U);
@@ -425,7 +417,7 @@
   R.upstream("other", echo);
   TimePoint Begin = steadyNow();
   for (int I = 0; steadyNow() - Begin < 2s; ++I)
-    BOOST_TEST(R.ask(get(std::to_string(I))).m_Head.m_Status == 200U);
+    BOOST_TEST(R.ask(safeRequest(std::to_string(I))).m_Head.m_Status == 200U);
   // From half a second after the first answer with the limit.
   auto Counted = std::ranges::count_if(
       Arrived, [Begin](TimePoint At) { return At - Begin > 500ms; });
@@ -443,7 +435,7 @@
                           std::string(4096, 'x'), Sent, Closed));
   for (int I = 0; I < 2; ++I) {
     TimePoint Begin = steadyNow();
-    BOOST_TEST(R.ask(post(std::to_string(I))).m_Head.m_Status == 502U);
+    BOOST_TEST(R.ask(unsafeRequest(std::to_string(I))).m_Head.m_Status == 502U);
     BOOST_TEST((steadyNow() - Begin < 1s));
   }
   R.m_Io.run_for(std::chrono::milliseconds(50));
@@ -470,7 +462,7 @@
     for (int I = 0; I < 2; ++I) {
       TimePoint SentAt = steadyNow();
       std::vector<HttpResponse> Responses;
-      R.caller(get("a", "X-Deadline-Ms: 700\r\n"), 1, Responses, 2s);
+      R.caller(safeRequest("a", "X-Deadline-Ms: 700\r\n"), 1, Responses, 2s);
       R.run();
       BOOST_TEST((steadyNow() - SentAt < 1s));
       // The connection ended in the middle of the body, or with a timeout.
--- a/tests/unit/given_up_requests_test.cpp
+++ b/tests/unit/given_up_requests_test.cpp
@@ -10,19 +10,6 @@
 using namespace mustardspoke::steer;
 using namespace mustardspoke::test;
 
-namespace {
-
-std::string get(const std::string &Id, const std::string &ExtraFields = "") {
-  return "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n" +
-         ExtraFields + "\r\n";
-}
-std::string post(const std::string &Id, const std::string &ExtraFields = "") {
-  return "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n" +
-         ExtraFields + "Content-Length: 2\r\n\r\nhi";
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(GivenUpRequests)
 
 // Guards against requests that reached an upstream seconds after their callers
@@ -31,20 +18,21 @@
 BOOST_AUTO_TEST_CASE(RequestGivenUpDuringACutDoesNotArriveAfterIt) {
   ExchangeRig R;
   UpstreamBehindALink Upstream(R);
-  BOOST_TEST(R.ask(get("before")).m_Head.m_Status == 200U);
+  BOOST_TEST(R.ask(safeRequest("before")).m_Head.m_Status == 200U);
   Upstream.cut();
-  for (const std::string &Text : {get("safe", "X-Deadline-Ms: 150\r\n"),
-                                  post("unsafe", "X-Deadline-Ms: 150\r\n")})
+  for (const std::string &Text :
+       {safeRequest("safe", "X-Deadline-Ms: 150\r\n"),
+        unsafeRequest("unsafe", "X-Deadline-Ms: 150\r\n")})
     BOOST_TEST(R.ask(Text).m_Head.m_Status == 504U);
   std::vector<HttpResponse> Responses;
-  R.caller(get("caller-left"), 1, Responses, 100ms);
+  R.caller(safeRequest("caller-left"), 1, Responses, 100ms);
   R.run();
   Upstream.restore();
   BOOST_TEST(Upstream.hasReceived("before"));
   BOOST_TEST(!Upstream.hasReceived("safe"));
   BOOST_TEST(!Upstream.hasReceived("unsafe"));
   BOOST_TEST(!Upstream.hasReceived("caller-left"));
-  BOOST_TEST(R.ask(get("after")).m_Head.m_Status == 200U);
+  BOOST_TEST(R.ask(safeRequest("after")).m_Head.m_Status == 200U);
 }
 
 // Guards against writes that reached the store seconds after the VM had given
@@ -91,11 +79,11 @@
 BOOST_AUTO_TEST_CASE(RequestsThatRunWhenTheProcessEndsAreAnswered) {
   ExchangeRig R;
   UpstreamBehindALink Upstream(R);
-  BOOST_TEST(R.ask(get("before")).m_Head.m_Status == 200U);
+  BOOST_TEST(R.ask(safeRequest("before")).m_Head.m_Status == 200U);
   Upstream.cut();
   std::vector<HttpResponse> Responses;
-  R.caller(get("safe"), 1, Responses);
-  R.caller(post("unsafe"), 1, Responses);
+  R.caller(safeRequest("safe"), 1, Responses);
+  R.caller(unsafeRequest("unsafe"), 1, Responses);
   R.m_Io.run_for(std::chrono::milliseconds(50));
   BOOST_TEST(R.m_State.m_InFlight == 2U);
   TimePoint Begin = steadyNow();
