--- a/tests/support/server_side.cpp
+++ b/tests/support/server_side.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
 namespace mustardspoke::test {
 
 using namespace steer;
@@ -94,4 +96,20 @@
   return !m_Socket.is_open() || peek(m_Socket) == PeekResult::Closed;
 }
 
+Tcp::endpoint ServerSide::otherEnd() const {
+  NetError Ignored;
+  return m_Socket.remote_endpoint(Ignored);
+}
+
+int socketAt(const Tcp::endpoint &Address) {
+  constexpr int MaxDescriptors = 1024;
+  for (int Fd = 0; Fd < MaxDescriptors; ++Fd) {
+    Tcp::endpoint Local;
+    socklen_t Size = socklen_t(Local.capacity());
+    if (::getsockname(Fd, Local.data(), &Size) == 0 && Local == Address)
+      return Fd;
+  }
+  return -1;
+}
+
 } // namespace mustardspoke::test
--- a/tests/support/server_side.h
+++ b/tests/support/server_side.h
@@ -20,6 +20,9 @@
 void acceptEach(steer::asio::io_context &Io, steer::Tcp::acceptor &Acceptor,
                 std::function<void(steer::Tcp::socket)> OnConnection);
 
+/// \brief This process's socket that is bound to \p Address, or -1.
+[[nodiscard]] int socketAt(const steer::Tcp::endpoint &Address);
+
 /// \brief Reads requests one by one and writes responses.
 class ServerSide {
 public:
@@ -47,6 +50,7 @@
   void reset();
   /// \brief Whether the other side has closed the connection.
   [[nodiscard]] bool peerClosed();
+  [[nodiscard]] steer::Tcp::endpoint otherEnd() const;
 
 private:
   steer::asio::io_context &m_Io;
--- a/tests/unit/given_up_requests_test.cpp
+++ b/tests/unit/given_up_requests_test.cpp
@@ -4,14 +4,132 @@
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
+#include "gateway/http_client.h"
+#include "support/cut_gateway.h"
 #include "support/linked_upstream.h"
 
+#include <map>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 using namespace mustardspoke;
 using namespace mustardspoke::steer;
 using namespace mustardspoke::test;
 
+namespace {
+
+/// \brief Whether the system may end the connection by itself, without a reset,
+/// because the other side doesn't acknowledge anything.
+bool systemMayEnd(int Socket) {
+  int KeepsAlive = 0;
+  unsigned UserTimeout = 0;
+  socklen_t Size = sizeof KeepsAlive;
+  BOOST_REQUIRE(
+      ::getsockopt(Socket, SOL_SOCKET, SO_KEEPALIVE, &KeepsAlive, &Size) == 0);
+  Size = sizeof UserTimeout;
+  BOOST_REQUIRE(::getsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                             &UserTimeout, &Size) == 0);
+  return KeepsAlive != 0 || UserTimeout != 0;
+}
+
+/// \brief An upstream that notes, for each request, whether the system may end
+/// its connection while the request is unanswered.
+Script noteOwner(std::map<std::string, bool> &SystemMayEnd) {
+  return [&SystemMayEnd](ServerSide &Side) -> awaitable<void> {
+    for (;;) {
+      std::string Id = co_await Side.readRequest();
+      if (Id.empty())
+        co_return;
+      SystemMayEnd[Id] = systemMayEnd(socketAt(Side.otherEnd()));
+      co_await Side.respond(Id, Id);
+    }
+  };
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(GivenUpRequests)
 
+// Guards against requests that reached an upstream after it had left, seconds
+// after their callers were answered: keep-alive probes ended a kept connection
+// to which a request had just been written, and nothing withdrew the request.
+BOOST_AUTO_TEST_CASE(SystemDoesNotEndAConnectionWithAnUnansweredRequest) {
+  ExchangeRig R;
+  std::map<std::string, bool> SystemMayEnd;
+  R.upstream("u", noteOwner(SystemMayEnd));
+  BOOST_TEST(R.ask(safeRequest("new")).m_Head.m_Status == 200U);
+  BOOST_TEST(R.ask(unsafeRequest("kept")).m_Head.m_Status == 200U);
+  // The idle connection is watched meanwhile.
+  R.m_Pool.closeExpired(steadyNow());
+  BOOST_TEST(R.ask(safeRequest("idle-before")).m_Head.m_Status == 200U);
+  std::string Body(100000, 'x');
+  BOOST_TEST(R.ask("POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: body"
+                   "\r\nContent-Length: 100000\r\n\r\n" +
+                   Body)
+                 .m_Head.m_Status == 200U);
+  BOOST_TEST(SystemMayEnd.size() == 4U);
+  for (const auto &[Id, MayEnd] : SystemMayEnd)
+    BOOST_TEST(!MayEnd, Id);
+}
+
+BOOST_AUTO_TEST_CASE(SystemDoesNotEndAConnectionWithARelayedRequest) {
+  CutGateway G;
+  std::map<std::string, bool> SystemMayEnd;
+  Script Note = noteOwner(SystemMayEnd);
+  bool SystemMayEndRelay = false;
+  G.upstream("u", [&](ServerSide &Side) -> awaitable<void> {
+    SystemMayEndRelay |= systemMayEnd(socketAt(G.m_EndsAtPeer.back()));
+    co_await Note(Side);
+  });
+  G.cut();
+  for (const char *Id : {"a", "b"}) {
+    BOOST_TEST(G.m_Rig.ask(unsafeRequest(Id)).m_Head.m_Status == 200U);
+    BOOST_TEST(!SystemMayEnd.at(Id), Id);
+  }
+  BOOST_TEST(G.m_ConnectionsToPeer > 0U);
+  BOOST_TEST(!SystemMayEndRelay);
+}
+
+// Guards against the same for a body: it isn't delivered, and the system gave
+// the connection up before the deadline.
+BOOST_AUTO_TEST_CASE(BodyThatIsNotDeliveredIsAbortedAtTheDeadline) {
+  ExchangeRig R;
+  UpstreamBehindALink Upstream(R);
+  BOOST_TEST(R.ask(safeRequest("before")).m_Head.m_Status == 200U);
+  Upstream.dropPackets(true);
+  TimePoint Begin = steadyNow();
+  HttpResponse Response =
+      R.ask("POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
+            "Content-Length: 100000\r\n\r\n" +
+            std::string(100000, 'x'));
+  BOOST_TEST(Response.m_Head.m_Status == 504U);
+  BOOST_TEST((steadyNow() - Begin > 2900ms));
+}
+
+// Guards against writes to the store that take effect seconds after the VM gave
+// them up: the system ended the connection.
+BOOST_AUTO_TEST_CASE(SystemDoesNotEndAConnectionWithAnUnansweredWrite) {
+  ExchangeRig R;
+  std::map<std::string, bool> SystemMayEnd;
+  R.upstream("store", noteOwner(SystemMayEnd));
+  HttpClientConnection Client(
+      R.m_Io, R.m_State.m_Upstreams.find("store")->m_Registration.m_Address,
+      1s);
+  for (const char *Method : {"GET", "POST", "POST"}) {
+    SystemMayEnd.clear();
+    bool Done = false;
+    spawn(R.m_Io, [&]() -> awaitable<void> {
+      std::string Body = Method == std::string("GET") ? "" : "{}";
+      (void)co_await Client.call(Method, "/x", Body, 1s);
+      Done = true;
+    });
+    while (!Done)
+      R.m_Io.run_one();
+    bool IsWrite = Method != std::string("GET");
+    BOOST_TEST(SystemMayEnd.at("none") == !IsWrite);
+  }
+}
+
 // Guards against requests that reached an upstream seconds after their callers
 // had been answered: the VM had given them up while its link was cut, and the
 // system delivered what had been written once the link was back.
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -3,8 +3,7 @@
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
-#include "platform/platform.h"
-#include "support/exchange_rig.h"
+#include "support/cut_gateway.h"
 
 using namespace mustardspoke;
 using namespace mustardspoke::steer;
@@ -12,105 +11,12 @@
 
 namespace {
 
-std::string get(const std::string &Id, const std::string &ExtraFields = "") {
-  return "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n" +
-         ExtraFields + "\r\n";
-}
-std::string post(const std::string &Id, const std::string &Body = "hi") {
+std::string order(const std::string &Id, const std::string &Body = "hi") {
   return "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id +
          "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
          Body;
 }
 
-/// \brief Loses the own links of \p State: nothing can be opened.
-void loseLinks(GatewayState &State) {
-  State.m_Upstreams.forEach([&State](Upstream &Target) {
-    State.m_OwnLinks.recordOpenFailure(Target, steadyNow());
-  });
-  BOOST_REQUIRE((State.m_OwnLinks.state() == LinkState::Lost));
-}
-
-/// \brief A gateway without own links, and a peer that has them. Both know the
-/// same upstreams.
-class CutGateway {
-public:
-  CutGateway()
-      : m_Peer(m_Rig.m_Io, GatewaySettings(), platform::wireFormat(),
-               platform::decoder()),
-        m_PeerPool(m_Rig.m_Io),
-        m_RelayPort(m_Rig.m_Io, {asio::ip::make_address("127.0.0.1"), 0}) {
-    acceptEach(m_Rig.m_Io, m_RelayPort, [this](Tcp::socket Socket) {
-      ++m_ConnectionsToPeer;
-      CallerConnectionPtr Connection(
-          new CallerConnection(m_Rig.m_Io, std::move(Socket), CallerLimits(),
-                               [this](const CallerConnectionPtr &Caller,
-                                      const PendingRequestPtr &Request) {
-                                 return serve(Caller, Request);
-                               }));
-      Connection->start();
-    });
-    m_Rig.m_State.m_Settings.m_RelayAddress =
-        "127.0.0.1:" + std::to_string(m_RelayPort.local_endpoint().port());
-  }
-
-  void upstream(const std::string &Id, const Script &Behaviour) {
-    m_Rig.upstream(Id, Behaviour);
-    (void)m_Peer.m_Upstreams.put(
-        m_Rig.m_State.m_Upstreams.find(Id)->m_Registration, steadyNow());
-  }
-  void answering(const std::string &Id) {
-    upstream(Id, [this](ServerSide &Side) -> awaitable<void> {
-      for (;;) {
-        std::string RequestId = co_await Side.readRequest();
-        if (RequestId.empty())
-          co_return;
-        m_Ran.push_back(RequestId);
-        co_await Side.respond(RequestId, RequestId);
-      }
-    });
-  }
-
-  /// \brief Loses the gateway's own links; the peer's heartbeat is fresh.
-  void cut() {
-    EntryVm Peer;
-    Peer.m_Vm = VmName("peer");
-    Peer.m_Incarnation = 1;
-    Peer.m_PeerAddress = "127.0.0.1:1";
-    Peer.m_Ready = true;
-    Peer.m_ContactAge = Duration(1ms);
-    (void)m_Rig.m_State.m_Fleet.receivedHeartbeat(Peer, steadyNow());
-    // Upstreams that are known by their registrations only.
-    for (const char *Id : {"x1", "x2", "x3"}) {
-      UpstreamRegistration Facts;
-      Facts.m_Id = Id;
-      Facts.m_Service = ServiceName("unused");
-      (void)m_Rig.m_State.m_Upstreams.put(Facts, steadyNow());
-    }
-    loseLinks(m_Rig.m_State);
-  }
-
-  ExchangeRig m_Rig;
-  GatewayState m_Peer;
-  UpstreamPool m_PeerPool;
-  Tcp::acceptor m_RelayPort;
-  unsigned m_ConnectionsToPeer = 0;
-  std::vector<std::string> m_Ran;
-  bool m_PeerDies = false; ///< In the middle of each attempt.
-
-private:
-  awaitable<bool> serve(CallerConnectionPtr Caller, PendingRequestPtr Request) {
-    if (m_PeerDies)
-      spawn(m_Rig.m_Io, [this, Caller]() { return abortSoon(Caller); });
-    Exchange Served(m_Peer, m_PeerPool, Caller, Request,
-                    Exchange::Source::Peer);
-    co_return co_await Served.run();
-  }
-  awaitable<void> abortSoon(CallerConnectionPtr Caller) {
-    co_await sleepFor(m_Rig.m_Io, 50ms);
-    Caller->abort();
-  }
-};
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RelayedAttempts)
@@ -135,7 +41,8 @@
   });
   G.cut();
   for (const char *Id : {"a", "b", "c"}) {
-    HttpResponse Response = G.m_Rig.ask(get(Id, "Mustardspoke-Run: 12\r\n"));
+    HttpResponse Response =
+        G.m_Rig.ask(safeRequest(Id, "Mustardspoke-Run: 12\r\n"));
     BOOST_TEST(Response.m_Head.m_Status == 200U);
     BOOST_TEST(Response.m_Body == Id);
     BOOST_TEST(*Response.m_Head.find("X-Own") == "1");
@@ -160,7 +67,7 @@
     co_await Side.respond(Id, Body);
   });
   G.cut();
-  HttpResponse Response = G.m_Rig.ask(post("a", std::string(700000, 'x')));
+  HttpResponse Response = G.m_Rig.ask(order("a", std::string(700000, 'x')));
   BOOST_TEST(Received.size() == 700000U);
   BOOST_TEST(Response.m_Head.m_Status == 200U);
   BOOST_TEST((Response.m_Body == std::string(Size, 'y')));
@@ -179,7 +86,7 @@
     });
   G.cut();
   G.m_PeerDies = true;
-  HttpResponse Response = G.m_Rig.ask(post("a"));
+  HttpResponse Response = G.m_Rig.ask(order("a"));
   BOOST_TEST(Response.m_Head.m_Status == 502U);
   BOOST_TEST(Runs == 1U);
   // The upstream isn't to blame.
@@ -195,7 +102,7 @@
   // An end that was announced to the peer, but not to this VM.
   (void)G.m_Peer.m_Upstreams.announceLeaving(
       runKey(G.m_Peer.m_Upstreams.find("u")->m_Registration), steadyNow());
-  HttpResponse Response = G.m_Rig.ask(post("a"));
+  HttpResponse Response = G.m_Rig.ask(order("a"));
   BOOST_TEST(Response.m_Head.m_Status == 503U);
   BOOST_TEST(G.m_Ran.empty());
 }
@@ -221,7 +128,7 @@
       }
     });
   G.cut();
-  BOOST_TEST(G.m_Rig.ask(post("a")).m_Head.m_Status == 200U);
+  BOOST_TEST(G.m_Rig.ask(order("a")).m_Head.m_Status == 200U);
   for (const GatewayState *State : {&G.m_Rig.m_State, &G.m_Peer}) {
     unsigned Quiet = 0;
     State->m_Upstreams.forEach([&Quiet](const Upstream &Target) {
@@ -240,7 +147,7 @@
         G.m_Rig.m_State.m_Upstreams.find(Id)->m_Registration, steadyNow());
   loseLinks(G.m_Peer);
   TimePoint AskedAt = steadyNow();
-  HttpResponse Response = G.m_Rig.ask(get("a"));
+  HttpResponse Response = G.m_Rig.ask(safeRequest("a"));
   BOOST_TEST(Response.m_Head.m_Status == 503U);
   BOOST_TEST(Response.m_Head.find("Retry-After") != nullptr);
   BOOST_TEST((steadyNow() - AskedAt < 200ms));
@@ -266,7 +173,7 @@
     G.cut();
   });
   TimePoint AskedAt = steadyNow();
-  BOOST_TEST(G.m_Rig.ask(get("a")).m_Head.m_Status == 200U);
+  BOOST_TEST(G.m_Rig.ask(safeRequest("a")).m_Head.m_Status == 200U);
   BOOST_TEST((steadyNow() - AskedAt < 1s));
 }
 
@@ -283,7 +190,7 @@
   G.cut();
   std::vector<HttpResponse> Responses;
   TimePoint AskedAt = steadyNow();
-  G.m_Rig.caller(get("a"), 1, Responses, Duration(100ms));
+  G.m_Rig.caller(safeRequest("a"), 1, Responses, Duration(100ms));
   G.m_Rig.run();
   G.m_Rig.m_Io.run_for(std::chrono::milliseconds(500));
   BOOST_REQUIRE(ClosedAt.has_value());
@@ -314,7 +221,7 @@
   G.cut();
   G.m_Rig.m_State.m_Settings.m_RelayAddress.clear();
   TimePoint AskedAt = steadyNow();
-  BOOST_TEST(G.m_Rig.ask(get("a")).m_Head.m_Status == 503U);
+  BOOST_TEST(G.m_Rig.ask(safeRequest("a")).m_Head.m_Status == 503U);
   BOOST_TEST((steadyNow() - AskedAt < 100ms));
 }
 
