A connection that may carry an undelivered request is ended by the VM only

Callers saw: nothing; their requests had been answered with 502. Upstreams got them up to 7 s later, also after they had announced their end (DRAIN).

Cause: keep-alive probes and the limit on unacknowledged bytes end a connection in the system. The VM's close then has nothing left to reset, so what was written stays on the way and is delivered when the link recovers.

Why this works: connections to upstreams and peers have no such limits while a request may be undelivered; the timers of the exchange end them, with a reset. Unacknowledged requests are found by the VM after 1.5 s, as before. Once the upstream has acknowledged the request, probes may notice that it vanishes; the connection isn't reused afterwards.

Tried and dropped: switching the probes off when an idle connection is used again.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -147,6 +147,10 @@
   awaitable<bool> sendRequest(UpstreamPtr Target);
   /// \brief Ends the attempt if its request isn't acknowledged in time.
   void armAcknowledgement();
+  /// \brief Has the system notice that the upstream vanishes, if that takes
+  /// less time than is left.
+  /// \pre The upstream has received the request.
+  void watchPeer();
   awaitable<AttemptResult> readResponse(UpstreamPtr Target);
   /// \brief Reads until \p Until holds. \returns Whether it does.
   template <class Condition>
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -155,11 +155,19 @@
       [Self = m_SelfHandle, Connection = m_Connection](const NetError &Error) {
         if (Error || !*Self || (*Self)->m_Connection != Connection)
           return;
-        if (unacknowledgedBytes(Connection->m_Socket).value_or(0) > 0)
+        auto Undelivered = unacknowledgedBytes(Connection->m_Socket);
+        if (Undelivered == 0U)
+          (*Self)->watchPeer();
+        else if (Undelivered)
           (*Self)->closeUpstream();
       });
 }
 
+void Exchange::watchPeer() {
+  if (remaining() > KeepAliveTime)
+    m_Connection->watchPeer();
+}
+
 void Exchange::returnUnusedConnection(Upstream &Target) {
   if (m_Connection->m_Reused && m_Connection->isToPeer())
     m_Pool.release(m_Connection, steadyNow());
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -186,6 +186,8 @@
   else
     Head.field("Content-Length", *UpstreamHead.m_ContentLength);
   std::string Bytes = Head.finish();
+  if (*m_BodySent)
+    watchPeer();
   for (;;) {
     std::string BodyPart = std::exchange(Parser.body(), {});
     if (!BodyPart.empty())
--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -17,9 +17,11 @@
 
 HttpClientConnection::HttpClientConnection(asio::io_context &Io,
                                            std::string Address,
-                                           Duration DeadPeerTimeout)
+                                           Duration DeadPeerTimeout,
+                                           Watch Watched)
     : m_Io(Io), m_Address(std::move(Address)),
-      m_DeadPeerTimeout(DeadPeerTimeout), m_Socket(Io), m_Timer(Io) {}
+      m_DeadPeerTimeout(DeadPeerTimeout), m_Watch(Watched), m_Socket(Io),
+      m_Timer(Io) {}
 
 void HttpClientConnection::close() {
   NetError Ignored;
@@ -38,7 +40,10 @@
   if (Error)
     co_return Error;
   m_Timer.arm(m_Socket, steadyNow() + m_DeadPeerTimeout);
-  enableDeadPeerDetection(m_Socket, m_DeadPeerTimeout);
+  if (m_Watch == Watch::System)
+    enableDeadPeerDetection(m_Socket, m_DeadPeerTimeout);
+  else
+    m_Socket.set_option(Tcp::no_delay(true), Error);
   co_await m_Socket.async_connect(*Endpoint, noThrow(Error));
   m_Timer.disarm();
   co_return Error;
--- a/src/gateway/http_client.h
+++ b/src/gateway/http_client.h
@@ -16,12 +16,18 @@
 /// \brief Keeps one connection to one server open between calls.
 ///
 /// \details One call at a time. A call without a response aborts the
-/// connection: its request isn't delivered later, and a late response isn't
-/// taken for that of the next call.
+/// connection: a late response isn't taken for that of the next call.
 class HttpClientConnection {
 public:
+  /// \brief Who ends the connection if the server vanishes.
+  enum class Watch : std::uint8_t {
+    System,   ///< While a response is awaited, too.
+    Timeouts, ///< The timeouts of calls only: a call that is given up isn't
+              ///< carried out later.
+  };
+
   HttpClientConnection(asio::io_context &Io, std::string Address,
-                       Duration DeadPeerTimeout);
+                       Duration DeadPeerTimeout, Watch Watched = Watch::System);
 
   /// \brief Sends one request and reads the whole response.
   awaitable<HttpResponse> call(std::string Method, std::string Target,
@@ -35,6 +41,7 @@
   std::string m_Address;
   Duration m_DeadPeerTimeout; ///< Time without acknowledgement after which the
                               ///< connection counts as dead.
+  Watch m_Watch;
   Tcp::socket m_Socket;
   CloseTimer m_Timer;
 };
--- a/src/gateway/net.cpp
+++ b/src/gateway/net.cpp
@@ -10,21 +10,27 @@
 
 namespace mustardspoke::steer {
 
-void enableDeadPeerDetection(Tcp::socket &Socket,
-                             Duration UnacknowledgedTimeout) {
+void enableKeepAlive(Tcp::socket &Socket) {
   NetError Ignored;
-  Socket.set_option(Tcp::no_delay(true), Ignored);
   Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
   int Fd = Socket.native_handle();
   // If the system lacks an option, its slower default applies.
   int Seconds = 1;
   int Probes = 2;
-  unsigned Millis = unsigned(
-      toMillis(std::max(UnacknowledgedTimeout, MinUnacknowledgedTimeout)));
   (void)::setsockopt(Fd, IPPROTO_TCP, TCP_KEEPIDLE, &Seconds, sizeof Seconds);
   (void)::setsockopt(Fd, IPPROTO_TCP, TCP_KEEPINTVL, &Seconds, sizeof Seconds);
   (void)::setsockopt(Fd, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof Probes);
-  (void)::setsockopt(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &Millis, sizeof Millis);
+}
+
+void enableDeadPeerDetection(Tcp::socket &Socket,
+                             Duration UnacknowledgedTimeout) {
+  NetError Ignored;
+  Socket.set_option(Tcp::no_delay(true), Ignored);
+  enableKeepAlive(Socket);
+  unsigned Millis = unsigned(
+      toMillis(std::max(UnacknowledgedTimeout, MinUnacknowledgedTimeout)));
+  (void)::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                     &Millis, sizeof Millis);
 }
 
 std::optional<std::size_t> unacknowledgedBytes(Tcp::socket &Socket) {
--- a/src/gateway/net.h
+++ b/src/gateway/net.h
@@ -67,11 +67,21 @@
 /// lost one must not end a connection whose answer takes its time.
 inline constexpr Duration MinUnacknowledgedTimeout = 2500ms;
 
-/// \brief Makes the connection fail when the other side vanishes without a
-/// reset.
-/// \param UnacknowledgedTimeout Time that sent bytes or keep-alive probes may
-/// stay unacknowledged before the connection fails; at least
-/// MinUnacknowledgedTimeout.
+/// \brief Makes the system end a connection without undelivered bytes when the
+/// other side vanishes: after an idle second, it sends a probe each second; two
+/// in a row must be unanswered.
+/// \details Such an end doesn't withdraw what was sent: it may still be
+/// delivered when the network recovers. Only a reset does (setAbortOnClose()).
+/// A connection that may carry a request that must not be delivered late is
+/// therefore not watched, nor is one reused after it was: some systems decide
+/// at the loss of the link.
+void enableKeepAlive(Tcp::socket &Socket);
+/// Time in which keep-alive probes find that the other side has vanished.
+inline constexpr Duration KeepAliveTime = 3s;
+
+/// \brief Enables keep-alive probes, and limits the time that sent bytes may
+/// stay unacknowledged.
+/// \param UnacknowledgedTimeout At least MinUnacknowledgedTimeout.
 void enableDeadPeerDetection(Tcp::socket &Socket,
                              Duration UnacknowledgedTimeout);
 
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -21,6 +21,11 @@
   m_Socket.close(Ignored);
 }
 
+void UpstreamConnection::watchPeer() {
+  m_PeerIsWatched = true;
+  enableKeepAlive(m_Socket);
+}
+
 UpstreamConnectionPtr UpstreamPool::take(Connections &Idle, TimePoint Now,
                                          Duration MaxIdle) {
   while (!Idle.empty()) {
@@ -36,6 +41,8 @@
 
 void UpstreamPool::put(Connections &Idle, UpstreamConnectionPtr Connection,
                        TimePoint Now) {
+  if (!Connection->isReusable())
+    return;
   if (Idle.size() >= MaxIdlePerTarget)
     Idle.erase(Idle.begin());
   Connection->m_IdleSince = Now;
@@ -70,7 +77,7 @@
                               Error);
   if (Error)
     co_return nullptr;
-  enableDeadPeerDetection(Connection->m_Socket, MinUnacknowledgedTimeout);
+  Connection->m_Socket.set_option(Tcp::no_delay(true), Error);
   setAbortOnClose(Connection->m_Socket, true);
   CloseTimer Timer(m_Io);
   Timer.arm(Connection->m_Socket, steadyNow() + Timeout);
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -15,9 +15,10 @@
 /// \brief One connection to an upstream, or to a peer that carries attempts to
 /// upstreams.
 ///
-/// Invariant: closing it while a request is unanswered aborts it, also when the
-/// process ends, so that the request doesn't arrive after its caller has been
-/// answered.
+/// Invariants: closing it while a request is unanswered aborts it, also when
+/// the process ends, so that the request doesn't arrive after its caller has
+/// been answered. While bytes of a request may be undelivered, the system
+/// doesn't end it.
 struct UpstreamConnection
     : boost::intrusive_ref_counter<UpstreamConnection,
                                    boost::thread_unsafe_counter> {
@@ -27,6 +28,11 @@
   UpstreamConnection &operator=(const UpstreamConnection &) = delete;
 
   [[nodiscard]] bool isToPeer() const noexcept { return !m_Peer.empty(); }
+  [[nodiscard]] bool isReusable() const noexcept { return !m_PeerIsWatched; }
+  /// \brief Lets the system end the connection if the other side vanishes. It
+  /// isn't reused then.
+  /// \pre The other side has received the request.
+  void watchPeer();
 
   Tcp::socket m_Socket;
   VmName m_Peer;         ///< The peer that it leads to; empty: the upstream.
@@ -36,6 +42,9 @@
   bool m_RequestUnanswered = false;
   Duration m_IdleTimeout{}; ///< May stay idle for this long.
   TimePoint m_IdleSince{};
+
+private:
+  bool m_PeerIsWatched = false;
 };
 
 using UpstreamConnectionPtr = boost::intrusive_ptr<UpstreamConnection>;
