A refusal is a promise only for the attempt that it can belong to

Another operator's report: a faulty server repeated an earlier refusal on a kept connection, and clients were told "not run" for requests that ran.

Here: a response with the identifier of another request was skipped already. One without an identifier counted as ours, and so did one with the same identifier: a request that is asked again keeps it.

On a connection that has carried a request, a response must name ours; a connection that got a refusal of this request is not used for it again, nor at all after 16 refusals. Requests without an identifier get a new connection. A VM that carries an attempt for a peer applies the same rules before it passes the response on.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -185,6 +185,17 @@
   [[nodiscard]] bool cancelled() const noexcept {
     return m_TimedOut || m_Caller->disconnected();
   }
+  /// \brief Of the identifier that tells answers to this request from others.
+  [[nodiscard]] std::uint64_t requestHash() const {
+    return stableHash(m_Metadata.m_RequestId);
+  }
+  /// \brief Whether an answer can be told from those to earlier requests of a
+  /// connection.
+  [[nodiscard]] bool mayReuseConnection() const noexcept {
+    return !m_Metadata.m_RequestId.empty();
+  }
+  /// \brief Whether a response on m_Connection answers this attempt.
+  [[nodiscard]] bool isOwnAnswer(const ResponseMetadata &Metadata) const;
   [[nodiscard]] Duration remaining() const { return m_Deadline - steadyNow(); }
   void record(ErrorKind Error, unsigned Status, std::string_view Reason);
 
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -69,9 +69,10 @@
       Links != LinkState::Up && !servesPeer() && m_State.hasRelay();
   if (Links != LinkState::Lost || !UsesPeers) {
     Duration MaxIdle = m_Route->idempotent() ? Duration::max() : MaxIdleUnsafe;
-    if (UpstreamConnectionPtr Kept =
-            m_Pool.acquire(*Target, steadyNow(), MaxIdle))
-      co_return Kept;
+    if (mayReuseConnection())
+      if (UpstreamConnectionPtr Kept =
+              m_Pool.acquire(*Target, steadyNow(), MaxIdle, requestHash()))
+        co_return Kept;
   }
   if (UsesPeers)
     co_return co_await connectToPeer(Target);
--- a/src/gateway/exchange_relay.cpp
+++ b/src/gateway/exchange_relay.cpp
@@ -28,7 +28,8 @@
     co_return nullptr;
   }
   VmName Name = Peer->m_Vm;
-  if (UpstreamConnectionPtr Kept = m_Pool.acquire(Name, steadyNow()))
+  if (UpstreamConnectionPtr Kept =
+          m_Pool.acquire(Name, steadyNow(), requestHash()))
     co_return Kept;
   UpstreamConnectionPtr Connection = co_await openPeerConnection(
       m_State, m_Pool, *Peer, std::min(PeerConnectTimeout, remaining()),
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -64,6 +64,13 @@
   m_Connection.reset();
 }
 
+bool Exchange::isOwnAnswer(const ResponseMetadata &Metadata) const {
+  if (!Metadata.m_RequestId.empty())
+    return Metadata.m_RequestId == m_Metadata.m_RequestId;
+  // A peer has checked it on its connection to the upstream.
+  return !m_Connection->m_Reused || m_Connection->isToPeer();
+}
+
 awaitable<AttemptResult> Exchange::readResponse(UpstreamPtr Target) {
   HttpParser Parser(HttpParser::Role::Responses, MaxResponseHead,
                     MaxResponseBody);
@@ -90,9 +97,7 @@
     }
     ResponseMetadata Metadata =
         m_State.m_WireFormat.m_ReadResponseMetadata(Parser.head());
-    bool IsStale = !Metadata.m_RequestId.empty() &&
-                   Metadata.m_RequestId != m_Metadata.m_RequestId;
-    if (IsStale) {
+    if (!isOwnAnswer(Metadata)) {
       // A late response to an earlier request; ours may follow it.
       m_StaleResponseSeen = true;
       bool Complete =
@@ -101,6 +106,8 @@
         co_return lostAttempt("another-request's-answer");
       continue;
     }
+    if (Metadata.m_NotRun)
+      m_Connection->noteRefusal(requestHash());
     applyMetadata(*Target, Metadata);
     m_Outcome.m_IsSigned = Metadata.m_Signed;
     // The VM that asked for the attempt decides what the answer is worth.
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -2,6 +2,8 @@
 /// Opening, reusing and closing connections.
 #include "gateway/upstream_pool.h"
 
+#include <algorithm>
+
 namespace mustardspoke::steer {
 namespace {
 
@@ -26,11 +28,18 @@
   enableKeepAlive(m_Socket);
 }
 
+bool UpstreamConnection::maySend(std::uint64_t RequestHash) const {
+  return std::ranges::find(m_Refused, RequestHash) == m_Refused.end();
+}
+
 UpstreamConnectionPtr UpstreamPool::take(Connections &Idle, TimePoint Now,
-                                         Duration MaxIdle) {
-  while (!Idle.empty()) {
-    UpstreamConnectionPtr Connection = std::move(Idle.back());
-    Idle.pop_back();
+                                         Duration MaxIdle,
+                                         std::uint64_t RequestHash) {
+  for (std::size_t I = Idle.size(); I-- > 0;) {
+    if (!Idle[I]->maySend(RequestHash))
+      continue;
+    UpstreamConnectionPtr Connection = std::move(Idle[I]);
+    Idle.erase(Idle.begin() + std::ptrdiff_t(I));
     Duration IdleTime = Now - Connection->m_IdleSince;
     if (IdleTime < std::min(Connection->m_IdleTimeout, MaxIdle) &&
         peek(Connection->m_Socket) == PeekResult::Nothing)
@@ -51,16 +60,19 @@
 }
 
 UpstreamConnectionPtr UpstreamPool::acquire(const Upstream &Target,
-                                            TimePoint Now, Duration MaxIdle) {
+                                            TimePoint Now, Duration MaxIdle,
+                                            std::uint64_t RequestHash) {
   auto Found = m_Idle.find(&Target);
-  return Found == m_Idle.end() ? nullptr : take(Found->second, Now, MaxIdle);
+  return Found == m_Idle.end() ? nullptr
+                               : take(Found->second, Now, MaxIdle, RequestHash);
 }
 
-UpstreamConnectionPtr UpstreamPool::acquire(const VmName &Peer, TimePoint Now) {
+UpstreamConnectionPtr UpstreamPool::acquire(const VmName &Peer, TimePoint Now,
+                                            std::uint64_t RequestHash) {
   auto Found = m_IdleToPeers.find(Peer);
   return Found == m_IdleToPeers.end()
              ? nullptr
-             : take(Found->second, Now, Duration::max());
+             : take(Found->second, Now, Duration::max(), RequestHash);
 }
 
 awaitable<UpstreamConnectionPtr>
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -28,7 +28,18 @@
   UpstreamConnection &operator=(const UpstreamConnection &) = delete;
 
   [[nodiscard]] bool isToPeer() const noexcept { return !m_Peer.empty(); }
-  [[nodiscard]] bool isReusable() const noexcept { return !m_PeerIsWatched; }
+  /// \brief Notes that the request with this hash of its identifier was
+  /// refused.
+  void noteRefusal(std::uint64_t RequestHash) {
+    m_Refused.push_back(RequestHash);
+  }
+  /// \brief Whether a request may be sent. A faulty upstream may repeat an
+  /// earlier refusal; for the same request it couldn't be told from an answer.
+  [[nodiscard]] bool maySend(std::uint64_t RequestHash) const;
+  [[nodiscard]] bool isReusable() const noexcept {
+    return !m_PeerIsWatched && m_Refused.size() < MaxRefusals;
+  }
+
   /// \brief Lets the system end the connection if the other side vanishes. It
   /// isn't reused then.
   /// \pre The other side has received the request.
@@ -44,7 +55,11 @@
   TimePoint m_IdleSince{};
 
 private:
+  /// A connection with more refusals isn't used again.
+  static constexpr std::size_t MaxRefusals = 16;
+
   bool m_PeerIsWatched = false;
+  std::vector<std::uint64_t> m_Refused; ///< See noteRefusal().
 };
 
 using UpstreamConnectionPtr = boost::intrusive_ptr<UpstreamConnection>;
@@ -59,8 +74,10 @@
   /// \brief Returns an idle connection without unread bytes, or null.
   /// \param MaxIdle Connections that were idle for longer are skipped, since
   /// the upstream may be closing them.
+  /// \param RequestHash Of the identifier of the request that is to be sent.
   [[nodiscard]] UpstreamConnectionPtr acquire(const Upstream &Target,
-                                              TimePoint Now, Duration MaxIdle);
+                                              TimePoint Now, Duration MaxIdle,
+                                              std::uint64_t RequestHash);
 
   /// \brief Opens a connection within \p Timeout.
   /// \returns Null with \p Error set on failure; nothing was sent then.
@@ -73,8 +90,8 @@
                TimePoint Now);
 
   // The same for connections to a peer that carries attempts.
-  [[nodiscard]] UpstreamConnectionPtr acquire(const VmName &Peer,
-                                              TimePoint Now);
+  [[nodiscard]] UpstreamConnectionPtr acquire(const VmName &Peer, TimePoint Now,
+                                              std::uint64_t RequestHash);
   awaitable<UpstreamConnectionPtr> open(VmName Peer, std::string Address,
                                         Duration Timeout, NetError &Error);
   void release(UpstreamConnectionPtr Connection, TimePoint Now);
@@ -92,7 +109,8 @@
 
   /// \brief Takes a usable connection out of \p Idle.
   static UpstreamConnectionPtr take(Connections &Idle, TimePoint Now,
-                                    Duration MaxIdle);
+                                    Duration MaxIdle,
+                                    std::uint64_t RequestHash);
   static void put(Connections &Idle, UpstreamConnectionPtr Connection,
                   TimePoint Now);
   template <class Key>
