Numbers out of range make a row unreadable, and headers with them do no harm

But a number was cast to the field's type: slots became 0, which the choice of upstreams divides by; drew all load; 1e300 depended on the processor, as a cast beyond the range is undefined. "10.0.0.1:+80", ": 80", ":80x" and an address with a null character passed for addresses. Times in headers overflowed as microseconds.

Heartbeats with odd fractions are corrected, and long values of log lines cut.

--- a/src/gateway/net.cpp
+++ b/src/gateway/net.cpp
@@ -3,6 +3,7 @@
 #include "gateway/net.h"
 
 #include <algorithm>
+#include <charconv>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -10,6 +11,14 @@
 
 namespace mustardspoke::steer {
 
+std::optional<unsigned short> parsePort(std::string_view Text) {
+  unsigned short Port = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Port);
+  bool IsNumber = Error == std::errc() && End == Text.data() + Text.size();
+  return IsNumber && Port != 0 ? std::optional(Port) : std::nullopt;
+}
+
 void enableKeepAlive(Tcp::socket &Socket) {
   NetError Ignored;
   Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
--- a/src/gateway/net.h
+++ b/src/gateway/net.h
@@ -20,6 +20,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace mustardspoke::steer {
 
@@ -46,19 +47,23 @@
   return std::chrono::steady_clock::time_point(Time.time_since_epoch());
 }
 
+/// \returns Nothing unless \p Text is a decimal number from 1 to 65535.
+[[nodiscard]] std::optional<unsigned short> parsePort(std::string_view Text);
+
 /// \brief Parses "IP:port".
 template <class Protocol>
 [[nodiscard]] std::optional<typename Protocol::endpoint>
 parseEndpoint(const std::string &Address) {
   std::size_t Colon = Address.rfind(':');
-  if (Colon == std::string::npos)
+  // The parser of IPs would ignore what follows a null character.
+  if (Colon == std::string::npos || Address.find('\0') != std::string::npos)
     return std::nullopt;
   NetError Error;
   auto Ip = asio::ip::make_address(Address.substr(0, Colon), Error);
-  unsigned long Port = std::strtoul(Address.c_str() + Colon + 1, nullptr, 10);
-  if (Error || Port == 0 || Port > 65535)
+  auto Port = parsePort(std::string_view(Address).substr(Colon + 1));
+  if (Error || !Port)
     return std::nullopt;
-  return typename Protocol::endpoint(Ip, static_cast<unsigned short>(Port));
+  return typename Protocol::endpoint(Ip, *Port);
 }
 
 /// The system ends a connection once a keep-alive probe is unanswered and the
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -118,13 +118,17 @@
 
 } // namespace
 
+/// In the text's unit; as microseconds, 64 bits hold it.
+constexpr double MaxDurationValue = 1e9;
+
 std::optional<Duration> parseDuration(std::string_view Text) {
   double Value = 0;
   auto [End, Error] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Value);
   std::string_view Unit(End, std::size_t(Text.data() + Text.size() - End));
   double Scale = Unit == "ms" ? 1e3 : Unit == "s" ? 1e6 : 0;
-  if (Error != std::errc() || Scale == 0 || Value < 0 || Value > 1e9)
+  bool InRange = Value >= 0 && Value <= MaxDurationValue; // Not if NaN.
+  if (Error != std::errc() || Scale == 0 || !InRange)
     return std::nullopt;
   return Duration(std::llround(Value * Scale));
 }
--- a/src/inner/heartbeat_codec.cpp
+++ b/src/inner/heartbeat_codec.cpp
@@ -23,7 +23,9 @@
 constexpr std::int64_t MaxMillis = 0xffffffff; ///< Of an encoded age.
 /// Value of contactAgeMillis.
 constexpr std::uint32_t NoContact = 0xffffffff;
-constexpr Duration AgeUnit = 100ms; ///< Ages are rounded up to this.
+constexpr double MaxCapacity = 1e6;    ///< Of a VM.
+constexpr double MaxUtilization = 1e6; ///< Of a region's slots.
+constexpr Duration AgeUnit = 100ms;    ///< Ages are rounded up to this.
 
 std::string toString(capnp::Text::Reader Text) {
   return {Text.begin(), Text.size()};
@@ -141,6 +143,11 @@
       std::min<std::uint8_t>(State, std::uint8_t(LinkState::Lost)));
 }
 
+/// \brief \p Number, or \p Otherwise if it isn't within [0, \p Max].
+double numberWithin(double Number, double Max, double Otherwise) {
+  return Number >= 0 && Number <= Max ? Number : Otherwise;
+}
+
 Heartbeat toHeartbeat(inner::Heartbeat::Reader Message) {
   Heartbeat Result;
   Result.m_Sender.m_Vm = VmName(toString(Message.getVm()));
@@ -152,7 +159,8 @@
   Result.m_Sender.m_PeerAddress = toString(Message.getPeerAddress());
   Result.m_Sender.m_Ready = Message.getReady();
   Result.m_Sender.m_Leaving = Message.getLeaving();
-  Result.m_Sender.m_Capacity = Message.getCapacity();
+  Result.m_Sender.m_Capacity =
+      numberWithin(Message.getCapacity(), MaxCapacity, EntryVm().m_Capacity);
   Result.m_Sender.m_FollowsStore = Message.getReadsStore();
   Result.m_Sender.m_TimerLag = Duration(Message.getTimerLagMicros());
   Result.m_Sender.m_Links = decodeLinkState(Message.getLinks());
@@ -171,9 +179,9 @@
     Result.m_UpstreamLoads.push_back(
         {Word >> LoadBits, (Word & MaxLoadUnits) / LoadUnitsPerRequest});
   for (auto Share : Message.getServiceShares())
-    Result.m_ServiceShares.push_back({Share.getServiceHash(),
-                                      double(Share.getLocalShare()),
-                                      double(Share.getUtilization())});
+    Result.m_ServiceShares.push_back(
+        {Share.getServiceHash(), numberWithin(Share.getLocalShare(), 1, 1),
+         numberWithin(Share.getUtilization(), MaxUtilization, 0)});
   Result.m_PeerAges = decodePeerAges(Message.getPeerAges());
   Result.m_ReaderAges = decodePeerAges(Message.getReaderAges());
   Result.m_AnnouncedRuns = decodeNumbers(Message.getAnnouncedRuns());
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -78,6 +78,9 @@
       std::chrono::steady_clock::now();
 };
 
+/// Longer values of a line are cut.
+constexpr std::size_t MaxValueBytes = 1024;
+
 using Logger = boost::log::sources::severity_logger_mt<LogLevel>;
 
 std::string LogVmName;
@@ -114,6 +117,13 @@
                                       MinSeverity);
 }
 
+std::string boundedLogValue(const std::string &Value) {
+  if (Value.size() <= MaxValueBytes)
+    return Value;
+  return Value.substr(0, MaxValueBytes) + "... (" +
+         std::to_string(Value.size()) + " bytes)";
+}
+
 void logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields) {
   Json Line = Json::object();
@@ -122,7 +132,7 @@
   Line.set("vm", Json(LogVmName));
   Line.set("event", Json(std::string(Event)));
   for (const LogField &Field : Fields)
-    Line.set(std::string(Field.m_Key), Json(Field.m_Value));
+    Line.set(std::string(Field.m_Key), Json(boundedLogValue(Field.m_Value)));
   BOOST_LOG_SEV(logger(), Level) << Line.toText();
 }
 
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -25,6 +25,9 @@
 /// \param MinLevel "info", "warning" or "error".
 void startLog(const std::string &Vm, const std::string &MinLevel);
 
+/// \brief \p Value as a line contains it: cut, with its length, if it is long.
+[[nodiscard]] std::string boundedLogValue(const std::string &Value);
+
 /// \brief Logs one line.
 /// \code
 /// logEvent(LogLevel::Info, "bundle-adopted", {{"version", "4"}});
--- a/tests/unit/adapter_test.cpp
+++ b/tests/unit/adapter_test.cpp
@@ -59,6 +59,95 @@
   }
 }
 
+// Guards against entries whose numbers don't fit: they draw all load, divide by
+// zero, or depend on the processor.
+BOOST_AUTO_TEST_CASE(RegistrationsWithNumbersOutOfRangeAreRejected) {
+  auto WithSlots = [](const std::string &Slots) {
+    return R"({"address":"10.0.0.1:80","info":{"service":"s","zone":"z",)"
+           R"("slots":)" +
+           Slots + R"(},"status":{"state":"ready"}})";
+  };
+  auto WithAddress = [](const std::string &Address) {
+    return R"({"address":")" + Address +
+           R"(","info":{"service":"s","zone":"z","slots":9},)"
+           R"("status":{"state":"ready"}})";
+  };
+  BOOST_TEST(upstream(WithSlots("9")).m_Facts.has_value());
+  BOOST_TEST(upstream(WithSlots("9.0")).m_Facts.has_value());
+  for (const char *Slots :
+       {"0", "-1", "0.5", "-0.5", "1.5", "1e300", "1e309", "-1e300", "NaN",
+        "4294967295", "4294967296", "4294967297", "9223372036854775807",
+        "9223372036854775808", "99999999999999999999999", "\"9\"", "null",
+        "[9]", "true"})
+    BOOST_TEST(!upstream(WithSlots(Slots)).m_Facts.has_value(), Slots);
+  for (const char *Address :
+       {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:4295032832", "10.0.0.1:-1",
+        "10.0.0.1:+80", "10.0.0.1: 80", "10.0.0.1:80x", "10.0.0.1:", "10.0.0.1",
+        ":80", "10.0.0.1:0x50", "10.0.0.1\\u0000:80",
+        "10.0.0.1:99999999999999999999"})
+    BOOST_TEST(!upstream(WithAddress(Address)).m_Facts.has_value(), Address);
+  for (const char *Status : {R"({"state":"ready","sequence":1e300})",
+                             R"({"state":"ready","sequence":-1})",
+                             R"({"state":"ready","warmupLeft":"1e300s"})",
+                             R"({"state":"ready","warmupLeft":"nans"})",
+                             R"({"state":"ready","warmupLeft":"999999999s"})",
+                             R"({"state":"ready","warmupLeft":"-1s"})"})
+    BOOST_TEST(!upstream(registration(Status)).m_Facts.has_value(), Status);
+  for (const char *Born : {R"(,"born":1e300)", R"(,"born":-5)"})
+    BOOST_TEST(!upstream(registration(R"({"state":"ready"})", Born))
+                    .m_Facts.has_value(),
+               Born);
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationsWithNumbersOutOfRangeAreRejected) {
+  auto Decode = [](const std::string &Attempts, const std::string &Weight,
+                   const std::string &HeaderBytes, const std::string &Rate) {
+    return platform::decoder().m_DecodeOperatorRow(
+        {"op", "config",
+         R"({"version":"r7","limits":{"maxHeaderBytes":)" + HeaderBytes +
+             R"(},"listeners":[{"host":"h","rules":[{"name":"n",)"
+             R"("type":"safe","match":{"prefix":"/"},"action":)"
+             R"({"trafficSplit":[{"service":"a","weight":)" +
+             Weight + R"(}],"maxAttempts":)" + Attempts +
+             R"(}}]}],"clusters":[{"name":"a","healthPath":"/",)"
+             R"("warmupPerS":)" +
+             Rate + "}]}",
+         4, false});
+  };
+  BOOST_TEST(Decode("2", "1", "100", "1.5").m_Routes != nullptr);
+  for (const char *Odd : {"1e300", "-1", "4294967296", "NaN", "\"2\""}) {
+    BOOST_TEST(Decode(Odd, "1", "100", "1").m_Routes == nullptr, Odd);
+    BOOST_TEST(Decode("2", Odd, "100", "1").m_Routes == nullptr, Odd);
+    BOOST_TEST(Decode("2", "1", Odd, "1").m_Routes == nullptr, Odd);
+  }
+  for (const char *Odd : {"1e309", "-1", "NaN", "\"2\""})
+    BOOST_TEST(Decode("2", "1", "100", Odd).m_Routes == nullptr, Odd);
+}
+
+BOOST_AUTO_TEST_CASE(HeadersWithNumbersOutOfRangeDoNoHarm) {
+  for (const char *Value : {"9223372036854775807", "4294967296", "1e300", "-1",
+                            "99999999999999999999", ""}) {
+    HttpHead Head;
+    Head.m_Status = 200;
+    Head.m_Fields = {
+        {"X-Server-Load", std::string(Value) + "," + Value + ",4294967297"},
+        {"X-Warmup-Ms", Value},
+        {"X-Deadline-Ms", Value},
+        {"Keep-Alive", "timeout=" + std::string(Value)}};
+    ResponseMetadata Response =
+        platform::wireFormat().m_ReadResponseMetadata(Head);
+    RequestMetadata Request =
+        platform::wireFormat().m_ReadRequestMetadata(Head);
+    for (const auto &Time :
+         {Response.m_KeepAliveTimeout, Response.m_WarmUpRemaining,
+          Request.m_CallerTimeout})
+      BOOST_TEST((!Time || (*Time >= 0s && *Time <= 1h)), Value);
+    if (Response.m_Load)
+      BOOST_TEST(Response.m_Load->m_Running + Response.m_Load->m_Waiting >=
+                 Response.m_Load->m_Running);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ArbitraryTextIsDecodedOrRejected) {
   rc::check("any text", [](const std::string &Value) {
     UpstreamRow Row = upstream(Value);
