--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -80,11 +80,16 @@
 
 void FaultInjector::start(Duration Length) {
   m_Start = steadyNow();
-  if (m_Set == FaultSet::CutSeries) {
+  auto Play = [this](Done (FaultInjector::*Series)()) {
     ++m_ActiveFaults;
-    test::spawn(m_Io, [this]() { return playCutSeries(); });
-    return;
-  }
+    test::spawn(m_Io, [this, Series]() { return (this->*Series)(); });
+  };
+  if (!m_Deployment.plan().m_ProductionBinary.empty())
+    Play(&FaultInjector::playUpgrades);
+  if (m_Set == FaultSet::CutSeries)
+    return Play(&FaultInjector::playCutSeries);
+  if (m_Set == FaultSet::Departures)
+    return Play(&FaultInjector::playDepartures);
   auto Count = unsigned(double(toMillis(Length)) / 1000 * FaultsPerSecond);
   for (unsigned I = 0; I < Count; ++I) {
     Duration When = m_Rng(std::uint32_t(toMillis(Length))) * 1ms;
@@ -390,4 +395,35 @@
   --m_ActiveFaults;
 }
 
+FaultInjector::Done FaultInjector::playDepartures() {
+  // Longer than the timeout of a route, so that requests are given up.
+  constexpr Duration HeldBefore = 1500ms;
+  constexpr Duration HeldAfter = 2500ms;
+  constexpr Duration Serves = 1s;
+  for (unsigned Index : {0U, m_Deployment.plan().m_StockUpstreams, 1U}) {
+    log("departure of " + m_Deployment.upstream(Index).plan().m_Id);
+    m_Deployment.setUpstreamLinkMode(Index, LinkMode::StallRequests);
+    co_await sleepFor(m_Io, HeldBefore);
+    m_Deployment.leaveUpstream(Index);
+    co_await sleepFor(m_Io, HeldAfter);
+    m_Deployment.setUpstreamLinkMode(Index, LinkMode::Pass);
+    co_await sleepFor(m_Io, Serves);
+    m_Deployment.crashUpstream(Index);
+    m_Deployment.upstream(Index).expireRegistration();
+    m_Deployment.startUpstream(Index);
+  }
+  --m_ActiveFaults;
+}
+
+FaultInjector::Done FaultInjector::playUpgrades() {
+  for (bool RunsProduction : {false, true})
+    for (unsigned Vm = 0; Vm < m_Deployment.plan().m_Vms; ++Vm) {
+      log(RunsProduction ? "back to production" : "upgrade");
+      m_Deployment.setProduction(Vm, RunsProduction);
+      co_await stopAndRestart(Vm, Duration::zero());
+      co_await randomDelay(200ms, 1s);
+    }
+  --m_ActiveFaults;
+}
+
 } // namespace mustardspoke::soak
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -15,6 +15,8 @@
              ///< crashing requests.
   Cuts,      ///< Also VMs that lose their links to all upstreams.
   CutSeries, ///< Nothing but cuts in a fixed order, of VMs that the seed draws.
+  Departures, ///< Nothing but upstreams that leave while requests are held
+              ///< back on the way to them.
 };
 
 /// \brief Injects faults into a deployment for a given time.
@@ -23,8 +25,9 @@
   FaultInjector(steer::asio::io_context &Io, LocalDeployment &Deployment,
                 Callers &Requests, std::uint64_t Seed, FaultSet Set);
 
-  /// \brief Draws and schedules the faults. FaultSet::CutSeries has a length of
-  /// its own.
+  /// \brief Draws and schedules the faults. FaultSet::CutSeries and Departures
+  /// have lengths of their own. If there is a program in production, the VMs
+  /// are replaced by the one under test and back, one after the other.
   void start(Duration Length);
   /// \brief Number of faults that are scheduled or have not ended.
   [[nodiscard]] unsigned activeCount() const { return m_ActiveFaults; }
@@ -70,6 +73,8 @@
   Done cutBriefly();
 
   Done playCutSeries();
+  Done playDepartures();
+  Done playUpgrades();
   Done cutVms(std::vector<unsigned> Vms, CutForm Form, Duration Length);
   [[nodiscard]] std::vector<unsigned> vmsOf(std::string_view Domain) const;
   [[nodiscard]] std::vector<unsigned> allVmsBut(unsigned Spared) const;
--- a/tests/soak/link_proxy.cpp
+++ b/tests/soak/link_proxy.cpp
@@ -148,7 +148,7 @@
     std::size_t Got =
         co_await From.async_read_some(asio::buffer(Chunk), noThrow(Error));
     co_await waitWhileStalled(*Connection, ToCaller);
-    if (wasAborted(From))
+    if (wasAborted(From) && !m_DeliversAborted)
       break;
     if (m_Mode == LinkMode::Delay)
       co_await steer::sleepFor(m_Io, ChunkDelay);
@@ -167,6 +167,8 @@
       Connection->m_ServerSocket.close(Ignored);
     co_return;
   }
+  if (m_DeliversAborted)
+    co_await steer::sleepFor(m_Io, ChunkDelay); // A reset overtakes data.
   reset(From);
   reset(To);
 }
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -40,6 +40,9 @@
             std::string Target);
 
   void setMode(LinkMode Mode);
+  /// \brief Has data delivered also if its sender has aborted the connection,
+  /// as a control of what the abort is for.
+  void deliverAborted() { m_DeliversAborted = true; }
   /// \brief Disturbs the connections of one caller only, whatever the mode.
   void setCut(const std::string &CallerIp, CutForm Form);
 
@@ -68,6 +71,7 @@
   steer::Tcp::acceptor m_Acceptor;
   std::string m_Target;
   LinkMode m_Mode = LinkMode::Pass;
+  bool m_DeliversAborted = false;
   std::map<std::string, CutForm> m_Cuts; ///< By IP of the caller.
   std::vector<std::weak_ptr<ConnectionPair>> m_Connections;
 };
--- a/tests/soak/local_deployment.cpp
+++ b/tests/soak/local_deployment.cpp
@@ -94,6 +94,7 @@
   for (unsigned I = 0; I < m_Plan.m_Vms; ++I) {
     m_StoreLinks.emplace_back(Io, address(StoreLinkGroup, I, StorePort),
                               address(0, 0, StorePort));
+    m_Vms[I].m_RunsProduction = !m_Plan.m_ProductionBinary.empty();
     startVm(I);
   }
 }
@@ -120,6 +121,8 @@
   Plan.m_Listen = address(UpstreamGroup, Index, UpstreamPort);
   Plan.m_Address = address(UpstreamLinkGroup, Index, UpstreamPort);
   m_UpstreamLinks.emplace_back(m_Io, Plan.m_Address, Plan.m_Listen);
+  if (m_Plan.m_DeliversAborted)
+    m_UpstreamLinks.back().deliverAborted();
   m_UpstreamLinkDisturbed.push_back(false);
   m_Upstreams.emplace_back(m_Io, m_Table, m_Observed, std::move(Plan),
                            m_Plan.m_Seed);
@@ -182,7 +185,10 @@
   m_Vms[Vm].m_Stopping = false;
   m_Observed.m_Vms[Vm].m_Started.push_back(steadyNow());
   m_Vms[Vm].m_Process = std::make_unique<test::Process>(
-      std::vector<std::string>{m_Plan.m_Binary, "gateway", settingsPath(Vm)},
+      std::vector<std::string>{m_Vms[Vm].m_RunsProduction
+                                   ? m_Plan.m_ProductionBinary
+                                   : m_Plan.m_Binary,
+                               "gateway", settingsPath(Vm)},
       m_Plan.m_Directory + "/vm-" + std::to_string(Vm) + ".log");
 }
 
--- a/tests/soak/local_deployment.h
+++ b/tests/soak/local_deployment.h
@@ -18,7 +18,11 @@
 
 /// \brief Size and location of a deployment.
 struct DeploymentPlan {
-  std::string m_Binary;    ///< The program under test.
+  std::string m_Binary; ///< The program under test.
+  /// The program that VMs run at first, as before an upgrade; may be empty.
+  std::string m_ProductionBinary;
+  /// See LinkProxy::deliverAborted().
+  bool m_DeliversAborted = false;
   std::string m_Directory; ///< Settings and logs.
   unsigned m_Network = 77; ///< All addresses are 127.NET.x.y.
   unsigned m_Vms = 6;      ///< In two regions with two failure domains each.
@@ -35,6 +39,10 @@
 
   // Entry VMs.
   void startVm(unsigned Vm);
+  /// \brief Selects what the VM runs from its next start on.
+  void setProduction(unsigned Vm, bool RunsProduction) {
+    m_Vms[Vm].m_RunsProduction = RunsProduction;
+  }
   void killVm(unsigned Vm);
   void stopVm(unsigned Vm); ///< Sends the stop signal.
   void pauseVm(unsigned Vm);
@@ -89,6 +97,7 @@
 private:
   struct Vm {
     std::unique_ptr<test::Process> m_Process; ///< Null: not running.
+    bool m_RunsProduction = false;
     bool m_Stopping = false;
     TimePoint m_StoppedAt{};
     TimePoint m_ReloadedAt{};
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -66,10 +66,10 @@
   checkCrashingRequest(Limits, Result);
   checkRetries(Limits, Result);
   checkCuts(Limits, Result);
-  if (Limits.m_CheckTiming) {
+  if (Limits.m_CheckTiming)
     checkWithdrawals(Limits, Result);
+  if (Limits.m_CheckTiming || Limits.m_CheckLateRuns)
     checkLateRuns(Limits, Result);
-  }
   return Result;
 }
 
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -84,6 +84,7 @@
   Duration m_SettleTime = 4s;
   /// Whether the limits of withdrawals and of late runs are checked.
   bool m_CheckTiming = false;
+  bool m_CheckLateRuns = false; ///< Late runs only.
   /// Sends of a request that has ended three upstreams, later than
   /// m_SettleTime after the third.
   unsigned m_CrashRetries = 3;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -19,7 +19,8 @@
 
 Usage:
   soak --binary=PATH [--first=SEED] [--seeds=N] [--seconds=N] [--timed]
-       [--net=N] [--vms=N] [--regressions=FILE] [--drills | --cuts | --cut-series]
+       [--net=N] [--vms=N] [--regressions=FILE] [--production=PATH]
+       [--drills | --cuts | --cut-series | --departures] [--deliver-aborted]
        [--keep]
 
 Options:
@@ -38,6 +39,12 @@
   --cuts              Also cuts VMs off from all upstreams, by ones, domains and
                       regions, in three forms.
   --cut-series        Plays nothing but such cuts, in a fixed order that takes 50 s.
+  --departures        Plays nothing but upstreams that leave while requests to them
+                      are held back, and checks that none arrives late.
+  --deliver-aborted   Control of --departures, which must fail: links deliver what
+                      its sender has withdrawn.
+  --production=PATH   Another build of mustardspoke that the VMs run at first. They
+                      are replaced one after the other, and back again.
   --keep              Keeps the directory of a seed without violations too.
 )";
 
@@ -50,6 +57,9 @@
 
 /// The longest timeout of a route, and a second for a busy machine.
 constexpr Duration TimedAnswerDelay = 4s;
+/// A request that is held back is given up earlier than this before it could
+/// arrive.
+constexpr Duration HeldRunDelay = 1s;
 
 struct Options {
   DeploymentPlan m_Plan;
@@ -209,6 +219,9 @@
   Settings.m_Plan.m_Binary = Words["--binary"].asString();
   Settings.m_Plan.m_Network = unsigned(Words["--net"].asLong());
   Settings.m_Plan.m_Vms = unsigned(Words["--vms"].asLong());
+  if (Words["--production"])
+    Settings.m_Plan.m_ProductionBinary = Words["--production"].asString();
+  Settings.m_Plan.m_DeliversAborted = Words["--deliver-aborted"].asBool();
   Settings.m_Length = std::chrono::seconds(Words["--seconds"].asLong());
   Settings.m_Limits.m_CheckTiming = Words["--timed"].asBool();
   if (Settings.m_Limits.m_CheckTiming)
@@ -223,6 +236,11 @@
     Settings.m_Faults = FaultSet::Cuts;
   if (Words["--cut-series"].asBool())
     Settings.m_Faults = FaultSet::CutSeries;
+  if (Words["--departures"].asBool()) {
+    Settings.m_Faults = FaultSet::Departures;
+    Settings.m_Limits.m_CheckLateRuns = true;
+    Settings.m_Limits.m_LateRunDelay = HeldRunDelay;
+  }
   auto First = std::uint64_t(Words["--first"].asLong());
   auto Count = std::uint64_t(Words["--seeds"].asLong());
   for (std::uint64_t Seed = First; Seed < First + Count; ++Seed)
