--- a/tests/unit/given_up_requests_test.cpp
+++ b/tests/unit/given_up_requests_test.cpp
@@ -4,6 +4,7 @@
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
+#include "gateway/http_client.h"
 #include "support/cut_gateway.h"
 #include "support/linked_upstream.h"
 
@@ -70,6 +71,23 @@
     BOOST_TEST(!MayEnd, Id);
 }
 
+// Control of the case above: what such a connection looks like.
+BOOST_AUTO_TEST_CASE(SystemMayEndAConnectionThatItWatches) {
+  ExchangeRig R;
+  std::map<std::string, bool> SystemMayEnd;
+  R.upstream("u", noteOwner(SystemMayEnd));
+  HttpClientConnection Client(
+      R.m_Io, R.m_State.m_Upstreams.find("u")->m_Registration.m_Address, 1s);
+  bool Done = false;
+  spawn(R.m_Io, [&]() -> awaitable<void> {
+    (void)co_await Client.call("GET", "/x", "", 1s);
+    Done = true;
+  });
+  while (!Done)
+    R.m_Io.run_one();
+  BOOST_TEST(SystemMayEnd.at("none"));
+}
+
 BOOST_AUTO_TEST_CASE(SystemDoesNotEndAConnectionWithARelayedRequest) {
   CutGateway G;
   std::map<std::string, bool> SystemMayEnd;
