--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -117,7 +117,7 @@
   RequestHandler m_Handler;
   HttpParser m_Parser;
   bool m_HasRead = false; ///< A request.
-  std::string m_Input; ///< Received, not yet parsed.
+  std::string m_Input;    ///< Received, not yet parsed.
   /// Requests in order of arrival; only the first one may send its response.
   std::deque<PendingRequestPtr> m_Queue;
   /// The request whose body is being read.
