--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -3,6 +3,7 @@
 #include "observe/log.h"
 
 #include "observe/line_limit.h"
+
 #include "json/json.h"
 
 #include <boost/log/core.hpp>
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -5,7 +5,6 @@
 
 #include "observe/line_limit.h"
 #include "observe/log.h"
-#include "json/json.h"
 
 using namespace mustardspoke;
 
