--- a/review/support/harness.cpp
+++ b/review/support/harness.cpp
@@ -596,11 +596,18 @@
   posix_spawn_file_actions_addopen(&Actions, 1, Log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&Actions, 1, 2);
-  int Error = ::posix_spawn(&m_Machines[Machine].m_Pid, Arguments[0], &Actions,
-                            nullptr, Arguments, environ);
+  pid_t Pid = 0;
+  int Error =
+      ::posix_spawn(&Pid, Arguments[0], &Actions, nullptr, Arguments, environ);
   posix_spawn_file_actions_destroy(&Actions);
   if (Error != 0)
     throw std::runtime_error("can't start target/mustardspoke");
+  m_Machines[Machine].m_Pid = Pid;
+}
+
+void Deployment::signal(unsigned Machine, int Number) {
+  if (pid_t Pid = m_Machines[Machine].m_Pid; Pid > 0)
+    ::kill(Pid, Number);
 }
 
 void Deployment::start() {
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -201,6 +201,8 @@
   void start();
   /// \brief Waits until all machines say that they are ready.
   [[nodiscard]] bool waitUntilReady(Millis Timeout);
+  /// \brief Sends a signal to the process of \p Machine, if it runs.
+  void signal(unsigned Machine, int Number);
   /// \brief Ends of the process of \p Machine that nobody asked for.
   [[nodiscard]] unsigned ownEnds(unsigned Machine) const {
     return m_Machines[Machine].m_OwnEnds;
@@ -217,8 +219,8 @@
 
 private:
   struct Machine {
-    pid_t m_Pid = 0;
-    unsigned m_OwnEnds = 0;
+    std::atomic<pid_t> m_Pid = 0;
+    std::atomic<unsigned> m_OwnEnds = 0;
     Clock::time_point m_StartAt{};
   };
 
