review: case 4, servers that are gone still get orders after an outage of the store

A silent outage of the store swallows the feed calls that are made meanwhile. For 21.5 s the machines wait for their answers, although other calls have found the store again; changes show only in full reads, every 3 s or 6 s. Servers that are removed 4.5 s after the outage get requests up to 6 s later, and their ends cut orders off.

Cause: StoreReplica::feedLoop() keeps a call of before the store's return; UpstreamsReadInterval and OtherReaderIntervalFactor lie above the drain time.

--- a/review/support/harness.cpp
+++ b/review/support/harness.cpp
@@ -362,12 +362,16 @@
   auto Body = readBody(Caller, Call);
   if (!Body)
     return false;
+  // A call that is read while the store is silent isn't performed.
+  bool IsLost = m_IsSilent;
   std::string Target = Call.secondWord();
   auto Query = queryOf(Target);
   std::string Path = Target.substr(0, Target.find('?'));
   int Status = 200;
   std::string Text = "{}";
-  if (Path == "/mustardspoke/rows-get")
+  if (IsLost)
+    Status = 503;
+  else if (Path == "/mustardspoke/rows-get")
     Text = get(Query);
   else if (Path == "/mustardspoke/rows-feed")
     Text = feed(Query);
@@ -375,6 +379,11 @@
     Text = transact(*Body, Status);
   else
     Status = 404;
+  if (IsLost || m_IsSilent) {
+    while (Caller.receive())
+      Caller.m_Input.clear();
+    return false;
+  }
   return Caller.send("HTTP/1.1 " + std::to_string(Status) +
                      " X\r\nStore-Era: 1\r\nContent-Type: application/json"
                      "\r\nContent-Length: " +
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -133,6 +133,9 @@
   void put(const std::string &Table, const std::string &Key,
            const std::string &Value);
   void remove(const std::string &Table, const std::string &Key);
+  /// \brief While it is silent, the store reads calls and answers none. A
+  /// connection on which an answer is lost delivers nothing further.
+  void setSilent(bool Silent) { m_IsSilent = Silent; }
 
 private:
   struct Row {
@@ -153,6 +156,7 @@
   std::uint64_t m_Version = 1;
   std::map<std::string, std::map<std::string, Row>> m_Tables;
   std::atomic<bool> m_Ending = false;
+  std::atomic<bool> m_IsSilent = false;
   std::unique_ptr<Listener> m_Listener; ///< Ends before the rows do.
 };
 
