--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-constexpr std::size_t BodySize = 8 << 20; // bytes; the site allows 64 MiB
+constexpr std::size_t BodySize = 16 << 20; // bytes; the site allows 64 MiB
+/// Receive buffer of a server, as connections have small windows.
+constexpr int ServerWindow = 256 << 10; // bytes
 constexpr std::size_t PieceSize = 64 << 10;
 /// A client uploads a body over this time.
 constexpr Millis UploadTime = 1200ms;
@@ -95,20 +97,23 @@
 bool Case::serveSound(Connection &Caller, const Head &Request,
                       const std::string &Server) {
   std::string Id = Request.field("x-request-id");
+  Caller.limitReceiveBuffer(ServerWindow);
   std::this_thread::sleep_for(paceOf(Id).m_RunningReadsAfter);
   auto Body = readBody(Caller, Request);
   if (!Body) {
     m_Record.line(Server + " got no complete body of " + Id);
     return false;
   }
+  bool Sent = Caller.send(signedAnswer(Id, "done " + Id));
   compare(Id, Server, *Body, "runs");
-  return Caller.send(signedAnswer(Id, "done " + Id));
+  return Sent;
 }
 
 bool Case::serveRejecting(Connection &Caller, const Head &Request) {
   std::string Id = Request.field("x-request-id");
   if (!playsTrouble())
     return serveSound(Caller, Request, "server 1");
+  Caller.limitReceiveBuffer(ServerWindow);
   m_Record.line("server 1 rejects " + Id + " before its body is in");
   if (!Caller.send(shedAnswer(Id)))
     return false;
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -20,7 +20,7 @@
 constexpr Millis RunTime = 45s;
 /// What the server in trouble sends in all to all callers. A machine's link
 /// carries 125 MB/s.
-constexpr std::size_t BytesPerSecond = 100'000'000;
+constexpr std::size_t BytesPerSecond = 120'000'000;
 constexpr std::size_t PieceSize = 64 << 10;
 /// Orders on kept connections that the rule lets be lost.
 constexpr unsigned MaxLost = 3;
