--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -3,7 +3,6 @@
 /// before they are in, and reads on. The other one runs them.
 #include "../support/harness.h"
 
-#include <iostream>
 #include <sstream>
 
 using namespace review;
@@ -194,12 +193,5 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  if (Count != 2)
-    return CouldNotRun;
-  try {
-    return Case(Arguments[1]).run();
-  } catch (const std::exception &Error) {
-    std::cerr << Error.what() << "\n";
-    return CouldNotRun;
-  }
+  return runCase<Case>(Count, Arguments);
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -3,8 +3,6 @@
 /// read.
 #include "../support/harness.h"
 
-#include <iostream>
-
 using namespace review;
 
 namespace {
@@ -142,12 +140,5 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  if (Count != 2)
-    return CouldNotRun;
-  try {
-    return Case(Arguments[1]).run();
-  } catch (const std::exception &Error) {
-    std::cerr << Error.what() << "\n";
-    return CouldNotRun;
-  }
+  return runCase<Case>(Count, Arguments);
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -3,7 +3,6 @@
 #include "../support/harness.h"
 
 #include <algorithm>
-#include <iostream>
 #include <set>
 
 using namespace review;
@@ -188,12 +187,5 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  if (Count != 2)
-    return CouldNotRun;
-  try {
-    return Case(Arguments[1]).run();
-  } catch (const std::exception &Error) {
-    std::cerr << Error.what() << "\n";
-    return CouldNotRun;
-  }
+  return runCase<Case>(Count, Arguments);
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -2,8 +2,6 @@
 /// Servers that are taken away some seconds after an outage of the store.
 #include "../support/harness.h"
 
-#include <iostream>
-
 using namespace review;
 
 namespace {
@@ -192,12 +190,5 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  if (Count != 2)
-    return CouldNotRun;
-  try {
-    return Case(Arguments[1]).run();
-  } catch (const std::exception &Error) {
-    std::cerr << Error.what() << "\n";
-    return CouldNotRun;
-  }
+  return runCase<Case>(Count, Arguments);
 }
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <fstream>
 #include <functional>
+#include <iostream>
 #include <list>
 #include <map>
 #include <memory>
@@ -259,4 +260,17 @@
 /// \brief A server's statement that it is full and didn't run the request.
 std::string shedAnswer(const std::string &Id);
 
+/// \brief main() of a case: constructs it with the path of its record, plays
+/// it, and returns its exit status.
+template <class Case> int runCase(int Count, char **Arguments) {
+  if (Count != 2)
+    return CouldNotRun;
+  try {
+    return Case(Arguments[1]).run();
+  } catch (const std::exception &Error) {
+    std::cerr << Error.what() << "\n";
+    return CouldNotRun;
+  }
+}
+
 } // namespace review
