--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Uploads to a service of two servers, one of which rejects long requests
+/// Uploads to a service of two servers, one of which rejects half of them
 /// before they are in, and reads on. The other one runs them.
 #include "../support/harness.h"
 
@@ -16,7 +16,12 @@
 /// A client uploads a body over this time.
 constexpr Millis UploadTime = 1200ms;
 constexpr Millis Deadline = 2500ms;
-constexpr unsigned Requests = 16;
+constexpr unsigned Clients = 3;
+constexpr unsigned Requests = 60; ///< Of all clients.
+/// While it sheds, server 1 rejects one of so many requests of each kind.
+constexpr unsigned RejectsEach = 2;
+/// It sheds for this long, and is sound for as long after it.
+constexpr Millis ShedTime = 8s;
 constexpr char Service[] = "orderbook";
 
 /// \brief How a body is sent, and when the servers read it.
@@ -75,7 +80,12 @@
 
   Record m_Record;
   Deployment m_Deployment;
-  std::atomic<unsigned> m_Changed = 0; ///< Bodies with other bytes.
+  /// Bodies with other bytes, at the server that runs them and at the one that
+  /// has rejected them.
+  std::atomic<unsigned> m_RunChanged = 0;
+  std::atomic<unsigned> m_RejectedChanged = 0;
+  Clock::time_point m_Begin; ///< Of the first upload.
+  std::atomic<unsigned> m_SeenByRejecting[2] = {};
   std::atomic<unsigned> m_Answered = 0;
 };
 
@@ -85,7 +95,7 @@
   std::size_t At = firstDifference(Got, Due);
   if (Got == Due)
     return m_Record.line(Server + " " + What + " " + Id + ": body as sent");
-  ++m_Changed;
+  ++(What == "runs" ? m_RunChanged : m_RejectedChanged);
   m_Record.line(Server + " " + What + " " + Id + ": OTHER BYTES from byte " +
                 std::to_string(At) + " on: due \"" + Due.substr(At, 16) +
                 "\", got \"" + Got.substr(At, 16) + "\", " +
@@ -110,7 +120,9 @@
 
 bool Case::serveRejecting(Connection &Caller, const Head &Request) {
   std::string Id = Request.field("x-request-id");
-  if (!playsTrouble())
+  std::atomic<unsigned> &Seen = m_SeenByRejecting[paceOf(Id).m_Chunked];
+  bool Sheds = (Clock::now() - m_Begin) / ShedTime % 2 == 0;
+  if (!playsTrouble() || !Sheds || Seen++ % RejectsEach != 0)
     return serveSound(Caller, Request, "server 1");
   Caller.limitReceiveBuffer(ServerWindow);
   m_Record.line("server 1 rejects " + Id + " before its body is in");
@@ -179,15 +191,24 @@
   if (!m_Deployment.waitUntilReady(10s))
     return CouldNotRun;
   std::this_thread::sleep_for(1s);
-  for (unsigned I = 1; I <= Requests; ++I)
-    upload(I);
+  m_Begin = Clock::now();
+  std::list<std::thread> Uploading;
+  for (unsigned Client = 1; Client <= Clients; ++Client)
+    Uploading.emplace_back([this, Client] {
+      for (unsigned I = Client; I <= Requests; I += Clients)
+        upload(I);
+    });
+  for (std::thread &Each : Uploading)
+    Each.join();
   std::this_thread::sleep_for(1s);
   m_Record.line("answered with success: " + std::to_string(m_Answered) +
                 " of " + std::to_string(Requests) +
-                "; bodies with other bytes: " + std::to_string(m_Changed));
+                "; run with other bytes: " + std::to_string(m_RunChanged) +
+                "; other bytes where the rest was due: " +
+                std::to_string(m_RejectedChanged));
   if (m_Answered == 0)
     return CouldNotRun;
-  return m_Changed > 0 ? RuleBroken : RuleHeld;
+  return m_RunChanged + m_RejectedChanged > 0 ? RuleBroken : RuleHeld;
 }
 
 } // namespace
