Bytes that are no message are limited wherever they are received

Cause: readUntil() keeps what the parser doesn't take. In the line that begins a chunk and in a trailer the parser takes nothing before the end, without a limit. Bodies that nobody gets, of refusals and of answers to other requests, were read into memory to their end.

Change: the parser fails once more than a head is left unparsed, whoever sends. What nobody gets is discarded as it arrives, up to 4 MiB, or for 0.22 s after a refusal; at most 16 other messages come before an answer. Ruled out: a limit in readUntil() alone, which leaves callers, peers and the store.

Found beside it: fields of a trailer became part of the head if all arrived at once; hop-by-hop fields were looked up in a time that grew with the square of their number.

--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -94,8 +94,9 @@
   const HttpHead &CallerHead = m_Request->m_Head;
   HeadWriter ForwardedHead =
       HeadWriter::request(CallerHead.m_Method, CallerHead.m_Target);
+  HopByHopFields HopByHop(CallerHead);
   for (const HttpField &Field : CallerHead.m_Fields)
-    if (!isHopByHopField(CallerHead, Field.m_Name) &&
+    if (!HopByHop.contains(Field.m_Name) &&
         !m_State.m_WireFormat.m_IsGatewayRequestField(Field.m_Name) &&
         !isRelayField(Field.m_Name))
       ForwardedHead.field(Field.m_Name, Field.m_Value);
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -11,6 +11,14 @@
 /// Responses up to this size are read completely before the caller gets the
 /// first byte, so that one that breaks off can be requested again.
 constexpr std::size_t MaxBufferedResponse = 512 << 10; // bytes
+/// A longer body that nobody gets isn't read to its end.
+constexpr std::size_t MaxDiscardedBytes = 4 << 20;
+/// Interim responses and answers to other requests that may come before the
+/// answer.
+constexpr unsigned MaxOtherMessages = 16;
+/// Time for the rest of a message whose head tells all: a round trip on the
+/// longest path, twice.
+constexpr Duration RestOfMessageTime = 220ms;
 
 bool isServerError(unsigned Status) { return Status >= 500; }
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
@@ -48,6 +56,24 @@
   }
 }
 
+awaitable<bool> Exchange::discardRest(HttpParser &Parser) {
+  std::size_t Discarded = 0;
+  bool Ended = co_await readUntil(Parser, [&Parser, &Discarded] {
+    Discarded += Parser.body().size();
+    Parser.body().clear();
+    return Parser.done() || Discarded > MaxDiscardedBytes;
+  });
+  co_return Ended &&Parser.done();
+}
+
+awaitable<void> Exchange::finishMessage(Upstream &Target, HttpParser &Parser) {
+  CloseTimer Timer(m_State.m_Io);
+  Timer.arm(m_Connection->m_Socket, steadyNow() + RestOfMessageTime);
+  (void)co_await discardRest(Parser);
+  Timer.disarm();
+  releaseConnection(Target, Parser);
+}
+
 void Exchange::releaseConnection(Upstream &Target, HttpParser &Parser) {
   m_Connection->m_RequestUnanswered =
       !Parser.done() || Parser.parseError() != HttpParseError::None ||
@@ -75,7 +101,7 @@
   HttpParser Parser(HttpParser::Role::Responses, MaxResponseHead,
                     MaxResponseBody);
   m_StaleResponseSeen = false;
-  for (;;) {
+  for (unsigned Messages = 0; Messages <= MaxOtherMessages; ++Messages) {
     Parser.nextMessage(m_Request->m_Head.m_Method == "HEAD");
     bool HasHead =
         co_await readUntil(Parser, [&Parser] { return Parser.headDone(); });
@@ -86,8 +112,7 @@
     if (m_Connection->isToPeer()) {
       RelayOutcome Relayed = readRelayOutcome(Parser.head());
       if (Relayed.m_Result != RelayResult::Answered) {
-        (void)co_await readUntil(Parser, [&Parser] { return Parser.done(); });
-        releaseConnection(*Target, Parser);
+        co_await finishMessage(*Target, Parser);
         m_Outcome.m_IsStated = true;
         m_Outcome.m_Cause = Relayed.m_Reason;
         co_return Relayed.m_Result == RelayResult::NotSent
@@ -100,9 +125,7 @@
     if (!isOwnAnswer(Metadata)) {
       // A late response to an earlier request; ours may follow it.
       m_StaleResponseSeen = true;
-      bool Complete =
-          co_await readUntil(Parser, [&Parser] { return Parser.done(); });
-      if (!Complete || !Parser.head().m_KeepAlive)
+      if (!co_await discardRest(Parser) || !Parser.head().m_KeepAlive)
         co_return lostAttempt("another-request's-answer");
       continue;
     }
@@ -118,12 +141,12 @@
                               Metadata.m_RequestId.empty()))
       co_return lostAttempt("unproved-success");
     if (Metadata.m_NotRun) {
-      (void)co_await readUntil(Parser, [&Parser] { return Parser.done(); });
-      releaseConnection(*Target, Parser);
+      co_await finishMessage(*Target, Parser);
       co_return AttemptResult::NotRun;
     }
     co_return co_await forwardResponse(Target, Parser);
   }
+  co_return lostAttempt("other-messages");
 }
 
 awaitable<AttemptResult> Exchange::forwardResponse(UpstreamPtr Target,
@@ -149,9 +172,9 @@
 
 void Exchange::copyResponseFields(HeadWriter &Head,
                                   const HttpHead &UpstreamHead) {
+  HopByHopFields HopByHop(UpstreamHead);
   for (const HttpField &Field : UpstreamHead.m_Fields)
-    if (!isHopByHopField(UpstreamHead, Field.m_Name) &&
-        !isRelayField(Field.m_Name) &&
+    if (!HopByHop.contains(Field.m_Name) && !isRelayField(Field.m_Name) &&
         (servesPeer() ||
          !m_State.m_WireFormat.m_IsGatewayResponseField(Field.m_Name)))
       Head.field(Field.m_Name, Field.m_Value);
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -24,7 +24,14 @@
   return {Text.data(), Text.size()};
 }
 
-bool listContains(std::string_view List, std::string_view Token) noexcept {
+std::string toLower(std::string_view Text) {
+  std::string Result(Text);
+  std::ranges::transform(Result, Result.begin(), lower);
+  return Result;
+}
+
+/// \brief Appends the items of a comma-separated list, in lower case.
+void appendListItems(std::string_view List, std::vector<std::string> &Items) {
   while (!List.empty()) {
     std::size_t Comma = std::min(List.find(','), List.size());
     std::string_view Item = List.substr(0, Comma);
@@ -32,11 +39,10 @@
       Item.remove_prefix(1);
     while (!Item.empty() && Item.back() == ' ')
       Item.remove_suffix(1);
-    if (equalIgnoringCase(Item, Token))
-      return true;
+    if (!Item.empty())
+      Items.push_back(toLower(Item));
     List.remove_prefix(std::min(Comma + 1, List.size()));
   }
-  return false;
 }
 
 HttpParseError parseErrorOf(const beast::error_code &Error) {
@@ -63,7 +69,14 @@
   return nullptr;
 }
 
-bool isHopByHopField(const HttpHead &Head, std::string_view Name) noexcept {
+HopByHopFields::HopByHopFields(const HttpHead &Head) {
+  for (const HttpField &Field : Head.m_Fields)
+    if (equalIgnoringCase(Field.m_Name, "Connection"))
+      appendListItems(Field.m_Value, m_Listed);
+  std::ranges::sort(m_Listed);
+}
+
+bool HopByHopFields::contains(std::string_view Name) const {
   constexpr std::string_view Fixed[] = {"Connection",
                                         "Keep-Alive",
                                         "Proxy-Connection",
@@ -75,23 +88,18 @@
                                         "Content-Length",
                                         "Proxy-Authenticate",
                                         "Proxy-Authorization"};
-  for (std::string_view FixedName : Fixed)
-    if (equalIgnoringCase(Name, FixedName))
-      return true;
-  for (const HttpField &Field : Head.m_Fields)
-    if (equalIgnoringCase(Field.m_Name, "Connection") &&
-        listContains(Field.m_Value, Name))
-      return true;
-  return false;
+  bool IsFixed = std::ranges::any_of(Fixed, [Name](std::string_view Each) {
+    return equalIgnoringCase(Name, Each);
+  });
+  return IsFixed || (!m_Listed.empty() &&
+                     std::ranges::binary_search(m_Listed, toLower(Name)));
 }
 
 std::string hostWithoutPort(const HttpHead &Head) {
   const std::string *Host = Head.find("Host");
   if (!Host)
     return {};
-  std::string Result = Host->substr(0, Host->find(':'));
-  std::transform(Result.begin(), Result.end(), Result.begin(), lower);
-  return Result;
+  return toLower(std::string_view(*Host).substr(0, Host->find(':')));
 }
 
 struct HttpParser::Impl {
@@ -147,6 +155,10 @@
   }
   void on_field_impl(http::field /*Known*/, beast::string_view Name,
                      beast::string_view Value, beast::error_code &) override {
+    // A field of the trailer says nothing about how the message is to be
+    // handled: the head may have been forwarded already.
+    if (Base::is_header_done())
+      return;
     m_Head.m_Fields.push_back(
         {std::string(view(Name)), std::string(view(Value))});
   }
@@ -212,6 +224,10 @@
     if (Error)
       m_ParseError = parseErrorOf(Error);
   }
+  if (m_ParseError == HttpParseError::None && !done() &&
+      Bytes.size() - Used > m_MaxHeadBytes)
+    m_ParseError =
+        headDone() ? HttpParseError::Malformed : HttpParseError::HeadTooLarge;
   return Used;
 }
 
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -45,10 +45,17 @@
 [[nodiscard]] bool equalIgnoringCase(std::string_view Left,
                                      std::string_view Right) noexcept;
 
-/// \brief Whether a field concerns one connection only, so that a proxy must
-/// not forward it.
-[[nodiscard]] bool isHopByHopField(const HttpHead &Head,
-                                   std::string_view Name) noexcept;
+/// \brief The fields of a head that concern one connection only, so that a
+/// proxy must not forward them.
+class HopByHopFields {
+public:
+  explicit HopByHopFields(const HttpHead &Head);
+  [[nodiscard]] bool contains(std::string_view Name) const;
+
+private:
+  /// Names that the Connection field lists; in lower case, sorted.
+  std::vector<std::string> m_Listed;
+};
 
 /// \brief The Host field without its port, in lower case.
 [[nodiscard]] std::string hostWithoutPort(const HttpHead &Head);
@@ -63,10 +70,16 @@
 };
 
 /// \brief Parses consecutive messages of a byte stream.
+///
+/// Invariant: feed() leaves no more than the limit of a head, or parsing has
+/// failed. Neither a line of a head, nor the size of a chunk, nor a trailer
+/// goes on without end.
 class HttpParser {
 public:
   enum class Role : std::uint8_t { Requests, Responses };
 
+  /// \param MaxHeadBytes Limit of a head, of the line that begins a chunk, and
+  /// of a trailer.
   HttpParser(Role MessageRole, std::uint32_t MaxHeadBytes,
              std::uint64_t MaxBodyBytes);
   ~HttpParser();
--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -98,12 +98,13 @@
   }
 }
 
-void ExchangeRig::caller(const std::string &Text, std::size_t Count,
+void ExchangeRig::caller(std::string Text, std::size_t Count,
                          std::vector<HttpResponse> &Responses,
                          std::optional<Duration> CloseAfter) {
   ++m_PendingCallers;
-  spawn(m_Io, [this, Text, Count, &Responses, CloseAfter]() {
-    return call(Text, Count, Responses, CloseAfter);
+  auto Shared = std::make_shared<const std::string>(std::move(Text));
+  spawn(m_Io, [this, Shared, Count, &Responses, CloseAfter]() {
+    return call(Shared, Count, Responses, CloseAfter);
   });
 }
 
@@ -128,14 +129,15 @@
   co_return co_await Served.run();
 }
 
-awaitable<void> ExchangeRig::call(std::string Text, std::size_t Count,
+awaitable<void> ExchangeRig::call(std::shared_ptr<const std::string> Text,
+                                  std::size_t Count,
                                   std::vector<HttpResponse> &Responses,
                                   std::optional<Duration> CloseAfter) {
   Tcp::socket Socket(m_Io);
   CloseTimer Timer(m_Io);
   NetError Error;
   co_await Socket.async_connect(m_Callers.local_endpoint(), noThrow(Error));
-  co_await asio::async_write(Socket, asio::buffer(Text), noThrow(Error));
+  co_await asio::async_write(Socket, asio::buffer(*Text), noThrow(Error));
   if (CloseAfter)
     Timer.arm(Socket, steadyNow() + *CloseAfter);
   HttpParser Parser(HttpParser::Role::Responses, 65536, 1 << 24);
--- a/tests/support/exchange_rig.h
+++ b/tests/support/exchange_rig.h
@@ -41,10 +41,12 @@
   /// \brief Starts a caller that sends \p Text and reads \p Count responses.
   /// \param CloseAfter If set, the caller closes its connection after this
   /// time.
-  void caller(const std::string &Text, std::size_t Count,
+  void caller(std::string Text, std::size_t Count,
               std::vector<steer::HttpResponse> &Responses,
               std::optional<Duration> CloseAfter = std::nullopt);
 
+  /// \brief Callers that still wait for responses.
+  [[nodiscard]] unsigned pendingCallers() const { return m_PendingCallers; }
   /// \brief Runs the event loop until all callers are done.
   void run();
   /// \brief Sends one request over its own connection. \returns The response.
@@ -57,7 +59,8 @@
 private:
   steer::awaitable<bool> serve(steer::CallerConnectionPtr Caller,
                                steer::PendingRequestPtr Request);
-  steer::awaitable<void> call(std::string Text, std::size_t Count,
+  steer::awaitable<void> call(std::shared_ptr<const std::string> Text,
+                              std::size_t Count,
                               std::vector<steer::HttpResponse> &Responses,
                               std::optional<Duration> CloseAfter);
 
@@ -69,7 +72,7 @@
 
   steer::Tcp::acceptor m_Callers;
   std::list<RunningUpstream> m_Upstreams;
-  unsigned m_PendingCallers = 0; ///< Callers that still wait for responses.
+  unsigned m_PendingCallers = 0;
 };
 
 } // namespace mustardspoke::test
--- a/tests/unit/http_message_test.cpp
+++ b/tests/unit/http_message_test.cpp
@@ -99,6 +99,51 @@
   BOOST_TEST((Parser.parseError() == HttpParseError::Truncated));
 }
 
+// Guards against a trailer that changes how a message is handled, or not,
+// depending on how it arrives.
+BOOST_AUTO_TEST_CASE(FieldsOfATrailerAreNotPartOfTheHead) {
+  std::string Text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+                     "\r\n\r\n1\r\na\r\n0\r\nX-Late: 1\r\n\r\n";
+  for (std::size_t Size : {Text.size(), std::size_t(1)}) {
+    HttpParser Parser = requests();
+    BOOST_TEST(feedPieces(Parser, Text, Size).empty());
+    BOOST_TEST(Parser.done());
+    BOOST_TEST(!Parser.head().find("X-Late"));
+    BOOST_TEST(Parser.head().m_Fields.size() == 2U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FieldsNamedByTheConnectionFieldAreHopByHop) {
+  HttpParser Parser = requests();
+  (void)Parser.feed("GET / HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, X-A "
+                    ",,x-b\r\nX-A: 1\r\n\r\n");
+  HopByHopFields Fields(Parser.head());
+  for (const char *Name : {"X-A", "x-a", "X-B", "TE", "content-length"})
+    BOOST_TEST(Fields.contains(Name), Name);
+  for (const char *Name : {"X-C", "Host", ""})
+    BOOST_TEST(!Fields.contains(Name), Name);
+}
+
+// Guards against lines that go on without end and are kept.
+BOOST_AUTO_TEST_CASE(NoMoreThanAHeadIsLeftUnparsed) {
+  static constexpr std::uint32_t MaxHead = 256;
+  BOOST_TEST(rc::check([](bool IsTrailer, std::uint8_t Size) {
+    HttpParser Parser = requests(MaxHead);
+    std::string Input = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    if (IsTrailer)
+      Input += "0\r\nA: ";
+    for (int I = 0; I < 1000; ++I) {
+      Input.erase(0, Parser.feed(Input));
+      RC_ASSERT(Input.size() <= MaxHead ||
+                Parser.parseError() != HttpParseError::None);
+      if (Parser.parseError() != HttpParseError::None)
+        return;
+      Input.append(1 + Size, IsTrailer ? 'x' : '1');
+    }
+    RC_FAIL("the message never ends");
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(ArbitraryBytesGiveARequestOrAnError) {
   rc::check("any bytes", [](const std::string &Bytes) {
     HttpParser Parser = requests(256, 256);
