One budget for the bytes that a process holds

Buffers are charged to one budget. At its limit answers over 16 KiB are streamed, at 1.5 times the limit requests that haven't been sent are refused as not run; nothing that runs is dropped. The limit is limits.bufferMb, else a quarter of the VM's memory, at most 64 MB.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <array>
+
 namespace mustardspoke::steer {
 namespace {
 
@@ -37,14 +39,22 @@
 
 } // namespace
 
+void PendingRequest::updateCharge() {
+  std::size_t Bytes = m_Body.capacity();
+  for (const HttpField &Field : m_Head.m_Fields)
+    Bytes += sizeof(HttpField) + Field.m_Name.size() + Field.m_Value.size();
+  m_Charge.set(Bytes);
+}
+
 CallerConnection::CallerConnection(asio::io_context &Io, Tcp::socket Socket,
-                                   CallerLimits Limits, RequestHandler Handler)
+                                   CallerLimits Limits, BufferBudget &Buffers,
+                                   RequestHandler Handler)
     : m_Io(Io), m_Socket(std::move(Socket)), m_Limits(Limits),
-      m_Handler(std::move(Handler)),
+      m_Buffers(Buffers), m_Handler(std::move(Handler)),
       m_Parser(HttpParser::Role::Requests, Limits.m_MaxHeaderBytes,
                Limits.m_MaxBodyBytes),
-      m_RequestArrived(Io), m_SpaceAvailable(Io), m_BodyChanged(Io),
-      m_TurnChanged(Io), m_TimeoutTimer(Io) {
+      m_InputCharge(Buffers), m_RequestArrived(Io), m_SpaceAvailable(Io),
+      m_BodyChanged(Io), m_TurnChanged(Io), m_TimeoutTimer(Io) {
   enableDeadPeerDetection(m_Socket, UnacknowledgedTimeout);
 }
 
@@ -63,11 +73,14 @@
 }
 
 awaitable<bool> CallerConnection::send(PendingRequestPtr Request,
-                                       std::string Bytes) {
+                                       std::string Bytes,
+                                       std::string MoreBytes) {
   if (!co_await waitForTurn(Request))
     co_return false;
   NetError Error;
-  co_await asio::async_write(m_Socket, asio::buffer(Bytes), noThrow(Error));
+  std::array<asio::const_buffer, 2> Parts{asio::buffer(Bytes),
+                                          asio::buffer(MoreBytes)};
+  co_await asio::async_write(m_Socket, Parts, noThrow(Error));
   if (Error)
     markDisconnected();
   co_return !Error;
@@ -123,7 +136,7 @@
   if (peek(m_Socket) == PeekResult::Bytes)
     return startTimer(UnreadInputTime);
   if (m_Parser.started() && !m_Parser.headDone()) {
-    PendingRequestPtr TimedOut(new PendingRequest);
+    PendingRequestPtr TimedOut(new PendingRequest(m_Buffers));
     TimedOut->m_HeadTimedOut = true;
     m_Queue.push_back(TimedOut);
     m_RequestArrived.notify();
@@ -138,7 +151,7 @@
     m_Input.erase(0, m_Parser.feed(m_Input));
     bool Invalid = m_Parser.parseError() != HttpParseError::None;
     if (!HadHead && (m_Parser.headDone() || Invalid)) {
-      m_ReceivingRequest = new PendingRequest;
+      m_ReceivingRequest = new PendingRequest(m_Buffers);
       m_ReceivingRequest->m_Head = m_Parser.head();
       m_ReceivingRequest->m_ReadAt = steadyNow();
       m_ReceivingRequest->m_IsFirst = !std::exchange(m_HasRead, true);
@@ -152,6 +165,7 @@
       m_ReceivingRequest->m_ParseError = m_Parser.parseError();
       m_ReceivingRequest->m_BodyComplete = m_Parser.done();
       digestBody(*m_ReceivingRequest);
+      m_ReceivingRequest->updateCharge();
       m_BodyChanged.notify();
     }
     if (Invalid)
@@ -189,6 +203,7 @@
       continue;
     m_Input.append(Buffer, BytesRead);
     Parsing = parse();
+    m_InputCharge.set(m_Input.capacity());
     armTimeout();
   }
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -5,6 +5,7 @@
 
 #include "gateway/http_message.h"
 #include "gateway/net.h"
+#include "steer/buffer_budget.h"
 #include "steer/route_table.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -20,6 +21,8 @@
 struct PendingRequest
     : boost::intrusive_ref_counter<PendingRequest,
                                    boost::thread_unsafe_counter> {
+  explicit PendingRequest(BufferBudget &Buffers) : m_Charge(Buffers) {}
+
   HttpHead m_Head;
   TimePoint m_ReadAt; ///< When its head had been read.
   /// The first one of its connection: the connection waited for the event loop
@@ -42,6 +45,10 @@
   bool m_KeepConnection = false; ///< Value that the handler returned.
   /// Called once if the caller disconnects before the handler has returned.
   std::function<void()> m_OnDisconnect;
+  BufferCharge m_Charge; ///< Of the head and the kept part of the body.
+
+  /// \brief Adapts the charge to the size of the message.
+  void updateCharge();
 };
 using PendingRequestPtr = boost::intrusive_ptr<PendingRequest>;
 
@@ -60,8 +67,10 @@
     : public boost::intrusive_ref_counter<CallerConnection,
                                           boost::thread_unsafe_counter> {
 public:
+  /// \param Buffers Outlives the connection.
   CallerConnection(asio::io_context &Io, Tcp::socket Socket,
-                   CallerLimits Limits, RequestHandler Handler);
+                   CallerLimits Limits, BufferBudget &Buffers,
+                   RequestHandler Handler);
 
   /// \brief Starts reading and serving. The connection keeps itself alive.
   void start();
@@ -71,8 +80,10 @@
   awaitable<bool> waitForTurn(PendingRequestPtr Request);
   /// \brief Sends bytes of the response to \p Request once all earlier requests
   /// have been answered.
+  /// \param MoreBytes Sent after \p Bytes.
   /// \returns Whether the caller is still connected.
-  awaitable<bool> send(PendingRequestPtr Request, std::string Bytes);
+  awaitable<bool> send(PendingRequestPtr Request, std::string Bytes,
+                       std::string MoreBytes = {});
 
   /// \brief Waits until more of a body or its end has arrived, or the caller
   /// has disconnected.
@@ -114,10 +125,12 @@
   asio::io_context &m_Io;
   Tcp::socket m_Socket;
   CallerLimits m_Limits;
+  BufferBudget &m_Buffers;
   RequestHandler m_Handler;
   HttpParser m_Parser;
   bool m_HasRead = false; ///< A request.
   std::string m_Input;    ///< Received, not yet parsed.
+  BufferCharge m_InputCharge;
   /// Requests in order of arrival; only the first one may send its response.
   std::deque<PendingRequestPtr> m_Queue;
   /// The request whose body is being read.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -11,6 +11,9 @@
 /// Retry-After of refusals for a missing configuration or service; both arrive
 /// within seconds.
 constexpr Duration MissingConfigRetryAfter = 500ms;
+/// Callers that don't read hold most of the buffers; the system ends their
+/// connections within seconds.
+constexpr Duration BuffersFullRetryAfter = 500ms;
 /// Lost links are probed more often than this.
 constexpr Duration LostLinksRetryAfter = 500ms;
 /// After the start of the process, requests wait this long for the first read
@@ -51,7 +54,7 @@
                    Source From)
     : m_State(State), m_Pool(Pool), m_Caller(std::move(Caller)),
       m_Request(std::move(Request)), m_Source(From), m_Timer(State.m_Io),
-      m_AcknowledgementTimer(State.m_Io) {
+      m_AcknowledgementTimer(State.m_Io), m_ResponseCharge(State.m_Buffers) {
   Duration ReadDelay = State.m_ReadDelay.estimate(steadyNow());
   m_ArrivedAt =
       m_Request->m_ReadAt - (m_Request->m_IsFirst ? 2 : 1) * ReadDelay;
@@ -97,6 +100,11 @@
     co_return co_await refuse(ErrorKind::Leaving,
                               errorInfo(ErrorKind::Leaving).m_RetryAfter,
                               "leaving");
+  if (m_State.m_Buffers.room() == BufferRoom::None) {
+    ++m_State.m_Buffers.m_Counters.m_Refused;
+    co_return co_await refuse(ErrorKind::NoCapacity, BuffersFullRetryAfter,
+                              "buffers-full");
+  }
   co_await waitForFirstRead();
   m_Routes = m_State.m_Routes;
   if (!m_Routes)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -165,6 +165,9 @@
                                            HttpParser &Parser);
   awaitable<AttemptResult> streamResponse(HttpParser &Parser);
   void applyMetadata(Upstream &Target, const ResponseMetadata &Metadata);
+  /// \brief How much of a response is read before the caller gets its first
+  /// byte; in bytes.
+  [[nodiscard]] std::size_t maxBufferedResponse() const noexcept;
   void releaseConnection(Upstream &Target, HttpParser &Parser);
   /// \brief Puts the connection back into the pool, or closes one on which
   /// nothing was sent yet.
@@ -254,6 +257,7 @@
   bool m_StaleResponseSeen = false;
   std::shared_ptr<bool> m_BodySent; ///< Set when the whole body has been sent.
   std::optional<BufferedResponse> m_BufferedResponse;
+  BufferCharge m_ResponseCharge; ///< Of the response, while it is buffered.
 };
 
 } // namespace mustardspoke::steer
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -45,12 +45,13 @@
     }
     Offset += Bytes.size();
     if (Chunked)
-      Bytes = encodeChunk(Bytes);
+      Bytes = chunkHeader(Bytes.size()).append(Bytes).append(ChunkEnd);
     co_await asio::async_write(Connection->m_Socket, asio::buffer(Bytes),
                                noThrow(Error));
     if (Offset >= MaxRetryBody) {
       Request->m_Body.erase(0, Offset - Request->m_DroppedBytes);
       Request->m_DroppedBytes = Offset;
+      Request->updateCharge();
       Caller->notifyBodyConsumed();
     }
   }
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -11,6 +11,8 @@
 /// Responses up to this size are read completely before the caller gets the
 /// first byte, so that one that breaks off can be requested again.
 constexpr std::size_t MaxBufferedResponse = 512 << 10; // bytes
+/// The same while buffers are scarce. Most responses are smaller.
+constexpr std::size_t MinBufferedResponse = 16 << 10; // bytes
 /// A longer body that nobody gets isn't read to its end.
 constexpr std::size_t MaxDiscardedBytes = 4 << 20;
 /// Interim responses and answers to other requests that may come before the
@@ -35,6 +37,8 @@
   std::string Buffer(ReadBufferSize, '\0');
   for (;;) {
     Connection->m_Input.erase(0, Parser.feed(Connection->m_Input));
+    m_ResponseCharge.set(Connection->m_Input.capacity() +
+                         Parser.body().capacity());
     if (Until())
       co_return true;
     if (Parser.parseError() != HttpParseError::None || Parser.done())
@@ -149,16 +153,27 @@
   co_return lostAttempt("other-messages");
 }
 
+std::size_t Exchange::maxBufferedResponse() const noexcept {
+  return m_State.m_Buffers.room() == BufferRoom::Ample ? MaxBufferedResponse
+                                                       : MinBufferedResponse;
+}
+
 awaitable<AttemptResult> Exchange::forwardResponse(UpstreamPtr Target,
                                                    HttpParser &Parser) {
-  bool Buffered = co_await readUntil(Parser, [&Parser] {
-    return Parser.done() || Parser.body().size() > MaxBufferedResponse;
+  if (auto Length = Parser.head().m_ContentLength;
+      !Parser.done() && Length && *Length <= maxBufferedResponse())
+    Parser.body().reserve(*Length);
+  bool Buffered = co_await readUntil(Parser, [this, &Parser] {
+    return Parser.done() || Parser.body().size() > maxBufferedResponse();
   });
   if (!Buffered)
     co_return lostAttempt("broke-off");
   unsigned Status = Parser.head().m_Status;
-  if (!Parser.done())
+  if (!Parser.done()) {
+    if (Parser.body().size() <= MaxBufferedResponse)
+      ++m_State.m_Buffers.m_Counters.m_Streamed;
     co_return co_await streamResponse(Parser);
+  }
   releaseConnection(*Target, Parser);
   m_Outcome.m_AnsweredAt = steadyNow();
   m_Outcome.m_Status = Status;
@@ -200,8 +215,8 @@
     Head.field("Content-Length", std::uint64_t(Response.m_Body.size()));
   record(isSuccess(Status) ? ErrorKind::None : ErrorKind::UpstreamLost, Status,
          isSuccess(Status) ? "" : "upstream-status");
-  bool StillConnected =
-      co_await m_Caller->send(m_Request, Head.finish() + Response.m_Body);
+  bool StillConnected = co_await m_Caller->send(m_Request, Head.finish(),
+                                                std::move(Response.m_Body));
   co_return StillConnected && !m_ClosesConnection;
 }
 
@@ -215,17 +230,20 @@
     Head.field("Transfer-Encoding", "chunked");
   else
     Head.field("Content-Length", *UpstreamHead.m_ContentLength);
-  std::string Bytes = Head.finish();
+  std::string Framing = Head.finish();
   if (*m_BodySent)
     watchPeer();
   for (;;) {
     std::string BodyPart = std::exchange(Parser.body(), {});
-    if (!BodyPart.empty())
-      Bytes += Chunked ? encodeChunk(BodyPart) : BodyPart;
+    if (Chunked && !BodyPart.empty()) {
+      Framing += chunkHeader(BodyPart.size());
+      BodyPart += ChunkEnd;
+    }
     if (Chunked && Parser.done())
-      Bytes += LastChunk;
+      BodyPart += LastChunk;
     m_ResponseStarted = true;
-    if (!co_await m_Caller->send(m_Request, std::exchange(Bytes, {})))
+    if (!co_await m_Caller->send(m_Request, std::exchange(Framing, {}),
+                                 std::move(BodyPart)))
       co_return AttemptResult::Aborted;
     if (Parser.done())
       break;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 /// Listeners, signals, settings reload and shutdown of the gateway process.
 #include "gateway/gateway.h"
 
+#include "gateway/buffer_report.h"
 #include "gateway/crash_report.h"
 #include "gateway/exchange.h"
 #include "gateway/limit_report.h"
@@ -129,6 +130,7 @@
   StoreReplica m_Replica;
   PeerService m_Peers;
   LinkMonitor m_LinkMonitor;
+  BufferLog m_BufferLog;
   asio::signal_set m_Signals;
 };
 
@@ -166,6 +168,7 @@
           shareExposition(m_State.m_LocalShares) +
           limitExposition(m_State.m_Upstreams, steadyNow()) +
           crashExposition(m_State.m_CrashSuspects) +
+          bufferExposition(m_State.m_Buffers) +
           linkExposition(m_State.m_OwnLinks));
 }
 
@@ -245,8 +248,9 @@
       co_await sleepFor(m_Io, 10ms);
       continue;
     }
-    CallerConnectionPtr Connection(new CallerConnection(
-        m_Io, std::move(Socket), (this->*Limits)(), Handler));
+    CallerConnectionPtr Connection(
+        new CallerConnection(m_Io, std::move(Socket), (this->*Limits)(),
+                             m_State.m_Buffers, Handler));
     Connection->start();
   }
 }
@@ -347,6 +351,7 @@
     Timer.expires_at(toSteady(Due));
     co_await Timer.async_wait(noThrow(Ignored));
     m_Pool.closeExpired(steadyNow());
+    m_BufferLog.logChanges(m_State.m_Buffers);
     Duration Lateness = steadyNow() - Due;
     Duration &Lag = m_State.m_Fleet.m_Self.m_TimerLag;
     Lag += (Lateness - Lag) / LagMeanTicks;
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -291,12 +291,10 @@
   return Head.finish().append(Body);
 }
 
-std::string encodeChunk(std::string_view Bytes) {
+std::string chunkHeader(std::size_t Bytes) {
   char Size[20];
-  auto End = std::to_chars(Size, Size + sizeof Size, Bytes.size(), 16).ptr;
-  std::string Result(Size, End);
-  Result.append("\r\n").append(Bytes).append("\r\n");
-  return Result;
+  auto End = std::to_chars(Size, Size + sizeof Size, Bytes, 16).ptr;
+  return std::string(Size, End).append("\r\n");
 }
 
 std::string encodeQueryValue(std::string_view Value) {
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -143,8 +143,10 @@
 [[nodiscard]] std::string
 completeResponse(unsigned Status, std::string_view Type, std::string_view Body);
 
-/// \brief Encodes one chunk of a chunked body.
-[[nodiscard]] std::string encodeChunk(std::string_view Bytes);
+/// \brief The line that begins a chunk of a chunked body; ChunkEnd follows its
+/// bytes.
+[[nodiscard]] std::string chunkHeader(std::size_t Bytes);
+inline constexpr std::string_view ChunkEnd = "\r\n";
 inline constexpr std::string_view LastChunk = "0\r\n\r\n";
 
 /// \brief Percent-encodes a value for the query of a target; any byte may
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -371,7 +371,13 @@
     logEvent(LogLevel::Warning, "rows-question-unreadable");
     co_return;
   }
+  if (m_State.m_Buffers.room() == BufferRoom::None) {
+    logEvent(LogLevel::Warning, "rows-not-sent", {{"why", "buffers-full"}});
+    co_return; // The peer asks again, this VM or another one.
+  }
   std::string Bytes = encodeRows(m_Replica.relayedRows(*After));
+  BufferCharge Charge(m_State.m_Buffers);
+  Charge.set(Bytes.capacity());
   NetError Ignored; // On an error the peer asks again.
   co_await asio::async_write(*Peer, asio::buffer(Bytes), noThrow(Ignored));
 }
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -4,8 +4,10 @@
 
 #include "gateway/net.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <unistd.h>
 
 namespace mustardspoke::steer {
 namespace {
@@ -94,6 +96,19 @@
         {"limits." + Key, Value->toText(), "a duration such as \"2s\""});
 }
 
+/// \brief A quarter of the VM's memory, as connections, the replica and the
+/// allocator need theirs; less on a large VM, where more wouldn't help.
+std::size_t defaultBufferBytes() {
+  constexpr std::size_t MaxBytes = 64 << 20;
+  constexpr std::size_t MinBytes = 8 << 20;
+  long Pages = ::sysconf(_SC_PHYS_PAGES);
+  long PageBytes = ::sysconf(_SC_PAGESIZE);
+  if (Pages <= 0 || PageBytes <= 0)
+    return MaxBytes;
+  return std::clamp(std::size_t(Pages) * std::size_t(PageBytes) / 4, MinBytes,
+                    MaxBytes);
+}
+
 void readLimits(const Json &Object, GatewaySettings &Settings,
                 ValidationErrors &Problems) {
   readDuration(Object, "stopGrace", Settings.m_StopGracePeriod, Problems);
@@ -103,6 +118,14 @@
       positiveNumber(Object, "retryRatio", Settings.m_Retry.m_Ratio, Problems);
   Settings.m_Retry.m_Slack =
       positiveNumber(Object, "retrySlack", Settings.m_Retry.m_Slack, Problems);
+  constexpr double BytesPerMb = 1 << 20;
+  constexpr double MaxBufferMb = 1 << 20;
+  Settings.m_BufferBytes = std::size_t(
+      BytesPerMb *
+      std::min(MaxBufferMb,
+               positiveNumber(Object, "bufferMb",
+                              double(defaultBufferBytes()) / BytesPerMb,
+                              Problems)));
 }
 
 /// \brief Optional constants of the upstream choice, for measurements.
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -43,6 +43,8 @@
   Duration m_MaxLookupTtl = 5s;
   double m_Cores = 1; ///< Processor cores of the VM; may be a fraction.
   double m_LinkMbps = 1000;
+  /// Limit of BufferBudget, in bytes.
+  std::size_t m_BufferBytes = 64 << 20;
 
   RetryBudgetTuning m_Retry;
   ChoiceTuning m_Choice;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -55,13 +55,15 @@
   GatewayState(asio::io_context &Loop, GatewaySettings Settings,
                const WireFormat &Format, RowDecoder Decoder)
       : m_Io(Loop), m_Settings(std::move(Settings)), m_WireFormat(Format),
-        m_Decoder(std::move(Decoder)), m_OwnLinks(Loop, m_Upstreams),
+        m_Decoder(std::move(Decoder)), m_Buffers(m_Settings.m_BufferBytes),
+        m_OwnLinks(Loop, m_Upstreams),
         m_Fleet(selfDescription(m_Settings), m_Settings.m_Fleet) {}
 
   asio::io_context &m_Io;
   GatewaySettings m_Settings;
   const WireFormat &m_WireFormat;
   RowDecoder m_Decoder;
+  BufferBudget m_Buffers;
   GatewayStrategies m_Strategies;
 
   RouteTablePtr m_Routes; ///< Null until the first configuration is adopted.
--- a/tests/support/cut_gateway.h
+++ b/tests/support/cut_gateway.h
@@ -33,6 +33,7 @@
       m_EndsAtPeer.push_back(Socket.remote_endpoint());
       CallerConnectionPtr Connection(
           new CallerConnection(m_Rig.m_Io, std::move(Socket), CallerLimits(),
+                               m_Rig.m_State.m_Buffers,
                                [this](const CallerConnectionPtr &Caller,
                                       const PendingRequestPtr &Request) {
                                  return serve(Caller, Request);
--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -35,9 +35,8 @@
          ExtraFields + "Content-Length: 2\r\n\r\nhi";
 }
 
-ExchangeRig::ExchangeRig()
-    : m_State(m_Io, GatewaySettings(), platform::wireFormat(),
-              platform::decoder()),
+ExchangeRig::ExchangeRig(const GatewaySettings &Settings)
+    : m_State(m_Io, Settings, platform::wireFormat(), platform::decoder()),
       m_Pool(m_Io), m_Callers(m_Io, loopback()) {
   auto Routes = std::make_shared<RouteTable>();
   Routes->m_Version = 1;
@@ -58,12 +57,12 @@
   for (int I = 0; I < 200; ++I)
     m_State.m_RetryBudgets[ServiceName("s")].recordRequest(steadyNow());
   acceptEach(m_Io, m_Callers, [this](Tcp::socket Socket) {
-    CallerConnectionPtr Connection(
-        new CallerConnection(m_Io, std::move(Socket), CallerLimits(),
-                             [this](const CallerConnectionPtr &Caller,
-                                    const PendingRequestPtr &Request) {
-                               return serve(Caller, Request);
-                             }));
+    CallerConnectionPtr Connection(new CallerConnection(
+        m_Io, std::move(Socket), CallerLimits(), m_State.m_Buffers,
+        [this](const CallerConnectionPtr &Caller,
+               const PendingRequestPtr &Request) {
+          return serve(Caller, Request);
+        }));
     Connection->start();
   });
 }
--- a/tests/support/exchange_rig.h
+++ b/tests/support/exchange_rig.h
@@ -30,7 +30,8 @@
 /// and callers, all on one event loop.
 class ExchangeRig {
 public:
-  ExchangeRig();
+  explicit ExchangeRig(
+      const steer::GatewaySettings &Settings = steer::GatewaySettings());
 
   /// \brief Adds an upstream that runs \p Behaviour on every connection.
   void upstream(const std::string &Id, const Script &Behaviour);
@@ -45,6 +46,10 @@
               std::vector<steer::HttpResponse> &Responses,
               std::optional<Duration> CloseAfter = std::nullopt);
 
+  /// \brief Where callers connect.
+  [[nodiscard]] steer::Tcp::endpoint callerAddress() const {
+    return m_Callers.local_endpoint();
+  }
   /// \brief Callers that still wait for responses.
   [[nodiscard]] unsigned pendingCallers() const { return m_PendingCallers; }
   /// \brief Runs the event loop until all callers are done.
--- a/tests/unit/caller_connection_test.cpp
+++ b/tests/unit/caller_connection_test.cpp
@@ -28,7 +28,7 @@
       CallerLimits Limits;
       Limits.m_IdleTimeout = 100ms;
       CallerConnectionPtr Connection(
-          new CallerConnection(m_Io, std::move(Socket), Limits,
+          new CallerConnection(m_Io, std::move(Socket), Limits, m_Buffers,
                                [](const CallerConnectionPtr &Caller,
                                   const PendingRequestPtr &Pending) {
                                  return Caller->send(Pending, Answer);
@@ -59,6 +59,7 @@
   }
 
   asio::io_context m_Io;
+  BufferBudget m_Buffers{64 << 20};
 
 private:
   Tcp::acceptor m_Acceptor{m_Io, {asio::ip::make_address("127.0.0.1"), 0}};
--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -18,7 +18,7 @@
              "ready": "10.0.0.2:82", "lookups": "10.0.0.2:83",
              "peerPorts": ["7000", "7001"]},
   "seeds": ["10.0.0.9:84"],
-  "limits": {"stopGrace": "6s", "retrySlack": 56}})";
+  "limits": {"stopGrace": "6s", "retrySlack": 56, "bufferMb": 40}})";
 } // namespace
 
 BOOST_AUTO_TEST_CASE(ValidSettingsAreRead) {
@@ -30,6 +30,7 @@
   BOOST_TEST(Settings.m_SeedIps.front() == "10.0.0.9");
   BOOST_TEST((Settings.m_StopGracePeriod == 6s));
   BOOST_TEST(Settings.m_Retry.m_Slack == 56);
+  BOOST_TEST(Settings.m_BufferBytes == 40U << 20);
 }
 
 BOOST_AUTO_TEST_CASE(EveryProblemIsReportedWithItsPlace) {
@@ -38,12 +39,12 @@
       R"({"vm": "v", "region": "r", "failureDomain": "y",
           "failureDomains": {"z": "r"}, "store": "nowhere",
           "sourceIp": "here",
-          "listen": {}, "limits": {"stopGrace": "soon"}})",
+          "listen": {}, "limits": {"stopGrace": "soon", "bufferMb": 0}})",
       Problems);
   std::string Lines = formatErrors(Problems);
   for (const char *Place :
        {"store", "sourceIp", "failureDomain", "listen.callers",
-        "listen.peerPorts", "limits.stopGrace"})
+        "listen.peerPorts", "limits.stopGrace", "bufferMb"})
     BOOST_TEST(Lines.find(Place) != std::string::npos, Lines);
   ValidationErrors SyntaxProblems;
   (void)readGatewaySettings("{", SyntaxProblems);
