A request's body has one sender at a time

Cause: an attempt ended its sender by closing the connection, but an early answer had taken the connection out of the exchange, so the sender went on while the next attempt's began. Both moved the position of the dropped bytes; the one that had waited in its write moved it back.

Evidence: a line after each write, on the old code: "two senders: this one at 3924793, dropped up to 8388608", right before a body with a hole.

Change: RequestBody holds bytes and positions, BodySender is the only one that takes from it, and an attempt ends when its sender has ended. A rejecting upstream gets all of the body or the end of its connection. A body that can't be read to its end is refused at once, not at the deadline.

Ruled out: a second check after the write, which leaves two senders.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -9,11 +9,11 @@
 namespace mustardspoke::steer {
 namespace {
 
-constexpr std::size_t ReadBufferSize = 8192;    // bytes
-constexpr std::size_t MaxReadAhead = 256 << 10; // bytes of one request's body
-/// Bodies that begin with the same bytes have the same digest. Not above the
-/// part of a body that is kept for a retry.
-constexpr std::size_t DigestedBodyBytes = 16 << 10;
+constexpr std::size_t ReadBufferSize = 8192; // bytes
+/// Requests behind the first one of a connection, together; in bytes.
+constexpr std::size_t MaxQueuedBytes = 256 << 10;
+/// The same while buffers are scarce.
+constexpr std::size_t MinQueuedBytes = 16 << 10;
 constexpr std::size_t MaxPipelined = 64; // requests of one connection
 /// Requests of one connection with a running handler.
 constexpr std::size_t MaxConcurrent = 16;
@@ -24,23 +24,10 @@
 /// Time that bytes of a response may stay unacknowledged.
 constexpr Duration UnacknowledgedTimeout = 5s;
 
-/// \brief Sets the digest of a body once its beginning has arrived.
-void digestBody(PendingRequest &Request) {
-  // No byte has been dropped before the digest is set, as more than this is
-  // kept for a retry.
-  if (Request.m_BodyDigest ||
-      !(Request.m_BodyComplete || Request.m_Body.size() >= DigestedBodyBytes))
-    return;
-  std::string_view Beginning =
-      std::string_view(Request.m_Body).substr(0, DigestedBodyBytes);
-  Request.m_BodyDigest =
-      Beginning.empty() ? 0 : std::uint32_t(stableHash(Beginning));
-}
-
 } // namespace
 
 void PendingRequest::updateCharge() {
-  std::size_t Bytes = m_Body.capacity();
+  std::size_t Bytes = m_Body.footprint();
   for (const HttpField &Field : m_Head.m_Fields)
     Bytes += sizeof(HttpField) + Field.m_Name.size() + Field.m_Value.size();
   m_Charge.set(Bytes);
@@ -160,11 +147,11 @@
       m_TurnChanged.notify();
     }
     if (m_ReceivingRequest) {
-      m_ReceivingRequest->m_Body += m_Parser.body();
+      m_ReceivingRequest->m_Body.append(m_Parser.body());
       m_Parser.body().clear();
       m_ReceivingRequest->m_ParseError = m_Parser.parseError();
-      m_ReceivingRequest->m_BodyComplete = m_Parser.done();
-      digestBody(*m_ReceivingRequest);
+      if (m_Parser.done())
+        m_ReceivingRequest->m_Body.complete();
       m_ReceivingRequest->updateCharge();
       m_BodyChanged.notify();
     }
@@ -178,16 +165,27 @@
   return true;
 }
 
+bool CallerConnection::buffersFull() const {
+  if (m_Queue.size() >= MaxPipelined)
+    return true;
+  if (m_ReceivingRequest && m_ReceivingRequest->m_Body.isFull())
+    return true;
+  std::size_t QueuedBytes = 0;
+  for (const PendingRequestPtr &Request : m_Queue)
+    if (Request != m_Queue.front())
+      QueuedBytes += Request->m_Charge.bytes();
+  return QueuedBytes >= (m_Buffers.room() == BufferRoom::Ample
+                             ? MaxQueuedBytes
+                             : MinQueuedBytes);
+}
+
 awaitable<void> CallerConnection::readLoop() {
   CallerConnectionPtr Self(this);
   char Buffer[ReadBufferSize];
   bool Parsing = true;
   armTimeout();
   while (!m_Disconnected) {
-    bool BuffersFull = m_Queue.size() >= MaxPipelined ||
-                       (m_ReceivingRequest &&
-                        m_ReceivingRequest->m_Body.size() >= MaxReadAhead);
-    if (BuffersFull && !m_Finished) {
+    if (buffersFull() && !m_Finished) {
       co_await m_SpaceAvailable.wait();
       continue;
     }
@@ -254,7 +252,7 @@
       co_await m_TurnChanged.wait();
       continue;
     }
-    KeepConnection = First->m_KeepConnection && First->m_BodyComplete;
+    KeepConnection = First->m_KeepConnection && First->m_Body.isComplete();
     if (!KeepConnection)
       break;
     m_Queue.pop_front();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -5,7 +5,7 @@
 
 #include "gateway/http_message.h"
 #include "gateway/net.h"
-#include "steer/buffer_budget.h"
+#include "gateway/request_body.h"
 #include "steer/route_table.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -21,24 +21,20 @@
 struct PendingRequest
     : boost::intrusive_ref_counter<PendingRequest,
                                    boost::thread_unsafe_counter> {
-  explicit PendingRequest(BufferBudget &Buffers) : m_Charge(Buffers) {}
+  explicit PendingRequest(BufferBudget &Buffers)
+      : m_Body(Buffers), m_Charge(Buffers) {}
 
   HttpHead m_Head;
   TimePoint m_ReadAt; ///< When its head had been read.
   /// The first one of its connection: the connection waited for the event loop
   /// before it.
   bool m_IsFirst = false;
-  /// The request can't be served if set.
+  /// The request can't be served if set, which may show inside the body.
   HttpParseError m_ParseError = HttpParseError::None;
   /// The head didn't arrive within the header timeout.
   bool m_HeadTimedOut = false;
 
-  /// Received body bytes, without the first m_DroppedBytes ones.
-  std::string m_Body;
-  std::uint64_t m_DroppedBytes = 0;
-  bool m_BodyComplete = false; ///< The whole body has arrived.
-  /// Hash of the beginning of the body; none until enough of it has arrived.
-  std::optional<std::uint32_t> m_BodyDigest;
+  RequestBody m_Body;
 
   bool m_HandlerStarted = false; ///< A handler has been started for it.
   bool m_HandlerDone = false;    ///< The handler has returned.
@@ -88,6 +84,7 @@
   /// \brief Waits until more of a body or its end has arrived, or the caller
   /// has disconnected.
   awaitable<void> waitForBody() { return m_BodyChanged.wait(); }
+  void wakeBodyWaiters() { m_BodyChanged.notify(); }
   /// \brief Lets the read loop continue after body bytes were dropped.
   void notifyBodyConsumed() { m_SpaceAvailable.notify(); }
 
@@ -115,6 +112,9 @@
   void startHandlers();
   void cancelHandlers();
   awaitable<void> closeGracefully();
+  /// \brief Whether reading is to wait until requests have been served or more
+  /// of a body has been sent.
+  [[nodiscard]] bool buffersFull() const;
   /// \brief Parses the received bytes. \returns Whether parsing can continue.
   bool parse();
   void markDisconnected();
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -89,13 +89,8 @@
 }
 
 awaitable<bool> Exchange::route() {
-  if (m_Request->m_HeadTimedOut ||
-      m_Request->m_ParseError != HttpParseError::None) {
-    bool TooLarge = m_Request->m_ParseError == HttpParseError::BodyTooLarge;
-    co_await refuse(TooLarge ? ErrorKind::BodyTooLarge : ErrorKind::BadRequest,
-                    Duration::zero(), "unreadable");
-    co_return false;
-  }
+  if (m_Request->m_HeadTimedOut || requestBroke())
+    co_return co_await refuseUnreadable();
   if (!m_State.m_AcceptsRequests)
     co_return co_await refuse(ErrorKind::Leaving,
                               errorInfo(ErrorKind::Leaving).m_RetryAfter,
@@ -134,6 +129,13 @@
   co_return co_await runAttempts();
 }
 
+awaitable<bool> Exchange::refuseUnreadable() {
+  bool TooLarge = m_Request->m_ParseError == HttpParseError::BodyTooLarge;
+  co_await refuse(TooLarge ? ErrorKind::BodyTooLarge : ErrorKind::BadRequest,
+                  Duration::zero(), "unreadable");
+  co_return false;
+}
+
 void Exchange::armDeadline() {
   m_Timer.expires_at(toSteady(m_Deadline));
   m_Timer.async_wait([Self = m_SelfHandle](const NetError &Error) {
@@ -234,7 +236,7 @@
       ++UnsentAttempts;
       if (!blamesUpstream())
         m_Tried.pop_back();
-      if (m_BodyDropped)
+      if (!m_Request->m_Body.isWhole())
         co_return co_await giveUp(Last, 200ms, "unreachable");
       continue;
     case AttemptResult::NotRun:
@@ -255,8 +257,8 @@
     return false;
   if (m_EndedUpstreams >= MaxEndedUpstreams)
     return false;
-  if (m_BodyDropped || m_SentAttempts >= m_Route->m_MaxAttempts ||
-      remaining() < MinRetryTime)
+  if (!m_Request->m_Body.isWhole() ||
+      m_SentAttempts >= m_Route->m_MaxAttempts || remaining() < MinRetryTime)
     return false;
   return m_State.m_RetryBudgets[m_TargetService].takeRetry(
       steadyNow(), m_State.m_Fleet.limitFraction(), m_State.m_Settings.m_Retry);
@@ -268,6 +270,8 @@
     record(ErrorKind::CallerGone, 0, Reason);
     co_return false;
   }
+  if (requestBroke())
+    co_return co_await refuseUnreadable();
   // The upstream's error response is more informative than one of our own.
   if (m_BufferedResponse && !m_TimedOut)
     co_return co_await deliver(std::move(*m_BufferedResponse));
@@ -288,7 +292,7 @@
   // behind this request may already be running.
   m_ClosesConnection = (m_State.m_Leaving && m_Caller->isLast(m_Request)) ||
                        !m_Request->m_Head.m_KeepAlive ||
-                       !m_Request->m_BodyComplete;
+                       !m_Request->m_Body.isComplete();
   if (!m_ClosesConnection)
     return;
   m_Caller->announceClose();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -2,6 +2,7 @@
 /// Forwards one request to an upstream and its response to the caller.
 #pragma once
 
+#include "gateway/body_sender.h"
 #include "gateway/caller_connection.h"
 #include "gateway/relay_protocol.h"
 #include "gateway/state.h"
@@ -84,6 +85,8 @@
   };
 
   awaitable<bool> route();
+  /// \brief Refuses a request of which a part can't be read.
+  awaitable<bool> refuseUnreadable();
   /// \brief Ends the exchange at m_Deadline.
   void armDeadline();
   /// \param Cause Why, for the log.
@@ -192,7 +195,15 @@
     return m_Source == Source::Peer;
   }
   [[nodiscard]] bool cancelled() const noexcept {
-    return m_TimedOut || m_Caller->disconnected();
+    return m_TimedOut || m_Caller->disconnected() || requestBroke();
+  }
+  /// \brief Whether the rest of the request can't be read, so that no upstream
+  /// gets all of it.
+  [[nodiscard]] bool requestBroke() const noexcept {
+    return m_Request->m_ParseError != HttpParseError::None;
+  }
+  [[nodiscard]] bool bodyIsSent() const noexcept {
+    return !m_BodySender || m_BodySender->hasSentAll();
   }
   /// \brief Of the identifier that tells answers to this request from others.
   [[nodiscard]] std::uint64_t requestHash() const {
@@ -240,9 +251,7 @@
   unsigned m_SentAttempts = 0; ///< Attempts of which bytes may have been sent.
   /// An attempt ended without proof that the request did not run.
   bool m_MayHaveRun = false;
-  bool m_BodyDropped = false; ///< Body bytes were dropped after sending, so it
-                              ///< can't be sent again.
-  Choice m_Choice;            ///< Of the last attempt.
+  Choice m_Choice;                    ///< Of the last attempt.
   UpstreamConnectionPtr m_Connection; ///< Of the current attempt.
   /// Set while the upstream has the request.
   std::optional<InFlightGuard> m_InFlightGuard;
@@ -255,7 +264,8 @@
   bool m_ResponseStarted = false;
   /// A response to another request came first.
   bool m_StaleResponseSeen = false;
-  std::shared_ptr<bool> m_BodySent; ///< Set when the whole body has been sent.
+  /// Of the current attempt; null if the body went with the head.
+  BodySenderPtr m_BodySender;
   std::optional<BufferedResponse> m_BufferedResponse;
   BufferCharge m_ResponseCharge; ///< Of the response, while it is buffered.
 };
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -9,57 +9,17 @@
 namespace mustardspoke::steer {
 namespace {
 
-constexpr std::size_t ReadBufferSize = 16384; // bytes
+/// A body up to this size is sent together with the head.
+constexpr std::size_t SmallBody = 16384; // bytes
 /// A request that is sent at once is acknowledged within a round trip. Twice
 /// the first retransmissions on the longest path, so that single packet losses
 /// don't end an attempt.
 constexpr Duration AcknowledgementTimeout = 1500ms;
-/// Sent body bytes that are kept for a retry.
-constexpr std::size_t MaxRetryBody = 256 << 10; // bytes
 /// A connection takes one round trip, which is at most 110 ms.
 constexpr Duration ConnectTimeout = 400ms;
 /// A request that must not be retried uses recently used connections only: a
 /// reset of an older one would leave its outcome unknown.
 constexpr Duration MaxIdleUnsafe = 3s;
-/// \brief Sends a request's body while it arrives.
-/// \details Not a member, as the exchange may end first.
-/// \param Sent Set when the whole body has been sent.
-awaitable<void> sendBody(UpstreamConnectionPtr Connection,
-                         PendingRequestPtr Request, CallerConnectionPtr Caller,
-                         std::shared_ptr<bool> Sent) {
-  bool Chunked = Request->m_Head.m_Chunked;
-  std::uint64_t Offset = 0;
-  NetError Error;
-  while (!Error && Connection->m_Socket.is_open()) {
-    if (Offset < Request->m_DroppedBytes)
-      co_return; // A later attempt has taken over the body.
-    std::string Bytes =
-        Request->m_Body.substr(Offset - Request->m_DroppedBytes);
-    if (Bytes.empty() && Request->m_BodyComplete)
-      break;
-    if (Bytes.empty()) {
-      if (Caller->disconnected())
-        co_return;
-      co_await Caller->waitForBody();
-      continue;
-    }
-    Offset += Bytes.size();
-    if (Chunked)
-      Bytes = chunkHeader(Bytes.size()).append(Bytes).append(ChunkEnd);
-    co_await asio::async_write(Connection->m_Socket, asio::buffer(Bytes),
-                               noThrow(Error));
-    if (Offset >= MaxRetryBody) {
-      Request->m_Body.erase(0, Offset - Request->m_DroppedBytes);
-      Request->m_DroppedBytes = Offset;
-      Request->updateCharge();
-      Caller->notifyBodyConsumed();
-    }
-  }
-  if (!Error && Chunked && Connection->m_Socket.is_open())
-    co_await asio::async_write(Connection->m_Socket, asio::buffer(LastChunk),
-                               noThrow(Error));
-  *Sent = !Error;
-}
 
 } // namespace
 
@@ -114,15 +74,15 @@
 }
 
 awaitable<bool> Exchange::sendRequest(UpstreamPtr Target) {
-  m_BodySent = std::make_shared<bool>(false);
   const HttpHead &CallerHead = m_Request->m_Head;
   bool HasBody =
       CallerHead.m_Chunked || CallerHead.m_ContentLength.value_or(0) > 0;
   std::string Bytes = requestHead(*Target);
-  bool IsSmall =
-      m_Request->m_BodyComplete && m_Request->m_Body.size() <= ReadBufferSize;
-  if (HasBody && IsSmall && !CallerHead.m_Chunked)
-    Bytes += m_Request->m_Body;
+  bool GoesWithHead =
+      !HasBody || (!CallerHead.m_Chunked && m_Request->m_Body.isComplete() &&
+                   m_Request->m_Body.received() <= SmallBody);
+  if (GoesWithHead && HasBody)
+    Bytes += m_Request->m_Body.next(SmallBody);
   ++m_SentAttempts;
   m_Outcome.m_SentAt = steadyNow();
   if (!m_Connection->isToPeer())
@@ -136,18 +96,13 @@
     m_Outcome.m_Error = Error;
     co_return false;
   }
-  if (!HasBody || (IsSmall && !CallerHead.m_Chunked)) {
-    *m_BodySent = true;
+  if (GoesWithHead) {
     armAcknowledgement();
     co_return true;
   }
-  asio::co_spawn(
-      m_State.m_Io,
-      [Connection, Request = m_Request, Caller = m_Caller,
-       Sent = m_BodySent]() {
-        return sendBody(Connection, Request, Caller, Sent);
-      },
-      asio::detached);
+  m_BodySender = new BodySender(m_State.m_Io, m_State.m_Buffers, m_Connection,
+                                m_Request, m_Caller);
+  m_BodySender->start();
   co_return true;
 }
 
@@ -205,16 +160,13 @@
                                : lostAttempt("send-failed");
     }
   }
-  // The attempt is over; closing the socket stops sendBody().
-  if (m_Connection && m_BodySent && !*m_BodySent) {
-    NetError Ignored;
-    m_Connection->m_Socket.close(Ignored);
-  }
+  // The next attempt takes the body from its begin.
+  if (BodySenderPtr Sender = std::exchange(m_BodySender, nullptr))
+    co_await Sender->stop();
   m_Connection.reset();
   m_AcknowledgementTimer.cancel();
   m_InFlightGuard.reset();
   m_WaitGuard.reset();
-  m_BodyDropped = m_Request->m_DroppedBytes > 0;
   co_await recordOutcome(Target);
   co_return m_Outcome.m_Result;
 }
--- a/src/gateway/exchange_crashes.cpp
+++ b/src/gateway/exchange_crashes.cpp
@@ -16,13 +16,14 @@
 } // namespace
 
 std::optional<RequestFingerprint> Exchange::fingerprint() const {
-  if (!m_Request->m_BodyDigest)
+  auto BodyDigest = m_Request->m_Body.digest();
+  if (!BodyDigest)
     return std::nullopt;
-  return makeFingerprint(m_HeadDigest, *m_Request->m_BodyDigest);
+  return makeFingerprint(m_HeadDigest, *BodyDigest);
 }
 
 awaitable<void> Exchange::waitForFingerprint() {
-  while (!m_Request->m_BodyDigest && !cancelled())
+  while (!m_Request->m_Body.digest() && !cancelled())
     co_await sleepFor(m_State.m_Io, PollInterval);
 }
 
--- a/src/gateway/exchange_outcome.cpp
+++ b/src/gateway/exchange_outcome.cpp
@@ -169,8 +169,8 @@
 }
 
 void Exchange::recordLoss(Upstream &Target) {
-  // An attempt that its caller has left isn't lost.
-  if (m_Caller->disconnected())
+  // An attempt that its caller has left or spoilt isn't lost.
+  if (m_Caller->disconnected() || requestBroke())
     return;
   TimePoint Now = steadyNow();
   bool AnswersOthers =
--- a/src/gateway/exchange_relay.cpp
+++ b/src/gateway/exchange_relay.cpp
@@ -46,7 +46,8 @@
                m_Connection->m_RequestUnanswered && !m_ResponseStarted;
   // A request that may run once only waits for the answer, as it may have
   // arrived.
-  bool MayGoOn = m_Route && m_Route->idempotent() && !m_BodyDropped &&
+  bool MayGoOn = m_Route && m_Route->idempotent() &&
+                 m_Request->m_Body.isWhole() &&
                  (servesPeer() || (m_State.hasRelay() &&
                                    m_SentAttempts < m_Route->m_MaxAttempts &&
                                    remaining() >= MinRetryTime));
--- a/tests/support/server_side.cpp
+++ b/tests/support/server_side.cpp
@@ -42,24 +42,41 @@
 
 ServerSide::ServerSide(asio::io_context &Io, Tcp::socket Socket)
     : m_Io(Io), m_Socket(std::move(Socket)),
-      m_Parser(HttpParser::Role::Requests, 65536, 1 << 20) {}
+      m_Parser(HttpParser::Role::Requests, 65536, 64 << 20) {}
 
-awaitable<std::string> ServerSide::readRequest() {
+awaitable<bool> ServerSide::readMore() {
+  if (m_Parser.done())
+    co_return false;
   char Buffer[4096];
+  NetError Error;
+  std::size_t BytesRead =
+      co_await m_Socket.async_read_some(asio::buffer(Buffer), noThrow(Error));
+  m_Input.append(Buffer, BytesRead);
+  m_Input.erase(0, m_Parser.feed(m_Input));
+  co_return !Error && m_Parser.parseError() == HttpParseError::None;
+}
+
+awaitable<std::string> ServerSide::readHead() {
   m_Parser.nextMessage();
-  for (;;) {
-    m_Input.erase(0, m_Parser.feed(m_Input));
-    if (m_Parser.done()) {
-      std::string Id = field("X-Request-Id");
-      co_return Id.empty() ? "none" : Id;
-    }
-    NetError Error;
-    std::size_t BytesRead =
-        co_await m_Socket.async_read_some(asio::buffer(Buffer), noThrow(Error));
-    if (Error)
+  m_Input.erase(0, m_Parser.feed(m_Input));
+  while (!m_Parser.headDone())
+    if (!co_await readMore())
       co_return "";
-    m_Input.append(Buffer, BytesRead);
-  }
+  std::string Id = field("X-Request-Id");
+  co_return Id.empty() ? "none" : Id;
+}
+
+awaitable<std::string> ServerSide::readRequest() {
+  std::string Id = co_await readHead();
+  while (!Id.empty() && !m_Parser.done())
+    if (!co_await readMore())
+      co_return "";
+  co_return Id;
+}
+
+void ServerSide::setWindow(int Bytes) {
+  NetError Ignored;
+  m_Socket.set_option(asio::socket_base::receive_buffer_size(Bytes), Ignored);
 }
 
 std::string ServerSide::field(std::string_view Name) const {
--- a/tests/support/server_side.h
+++ b/tests/support/server_side.h
@@ -31,6 +31,14 @@
   /// \returns The next request's identifier, "none" if it has none, or an empty
   /// string at the end of the connection.
   steer::awaitable<std::string> readRequest();
+  /// \brief The same without the body, which readMore() reads on.
+  steer::awaitable<std::string> readHead();
+  /// \brief Reads more of the request.
+  /// \returns False at the end of the connection or of the request.
+  steer::awaitable<bool> readMore();
+  [[nodiscard]] bool requestIsComplete() const { return m_Parser.done(); }
+  /// \brief Bytes that the system receives for this side, at most.
+  void setWindow(int Bytes);
   [[nodiscard]] const steer::HttpHead &head() const { return m_Parser.head(); }
   /// \brief The value of a request's field, or an empty string.
   [[nodiscard]] std::string field(std::string_view Name) const;
