The source of each change of an upstream is logged

A removal that came late could have come from a feed, a full read or a peer; the log didn't say which of them had been waited for. upstream-changed names it.

--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -155,12 +155,13 @@
   noteStoreResult(Result, "read " + Table);
   if (Result.m_CallStatus != StoreCallStatus::Done)
     co_return false;
+  beginBatch("read " + Table);
   for (StoreRow &Row : Result.m_Rows) {
     Row.m_Table = Table;
     putRow(Row, storeJustReturned());
   }
   removeMissing(Table, Result.m_Rows, Result.m_Version);
-  finishBatch("read " + Table);
+  finishBatch();
   recordFullRead(Table, Result.m_Version, "store");
   std::uint64_t &FeedVersion = m_FeedVersions[Table];
   FeedVersion = std::max(FeedVersion, Result.m_Version);
@@ -232,11 +233,12 @@
         Pause > VmsReadInterval ? ShortFeedPollTimeout : FeedPollTimeout);
     noteStoreResult(Changes, "feed " + Table);
     if (Changes.m_CallStatus == StoreCallStatus::Done) {
+      beginBatch("feed " + Table);
       for (StoreRow &Row : Changes.m_Rows) {
         Row.m_Table = Table;
         putRow(Row, storeJustReturned());
       }
-      finishBatch("feed " + Table);
+      finishBatch();
       m_RowCaches[Table].advanceSyncedVersion(Changes.m_Version);
       std::uint64_t &FeedVersion = m_FeedVersions[Table];
       FeedVersion = std::max(FeedVersion, Changes.m_Version);
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -121,15 +121,17 @@
   /// \brief Whether the row's upstream has a delayed removal.
   [[nodiscard]] bool isInDoubt(const StoreRow &Row) const;
   void removeUpstream(const std::string &Id);
-  /// \brief Logs a change of one upstream, up to a number of lines per batch.
-  void logUpstreamChange(std::initializer_list<LogField> Fields);
+  /// \brief Logs a change of one upstream and where it came from, up to a
+  /// number of lines per batch.
+  void logUpstreamChange(std::vector<LogField> Fields);
+  /// \brief Begins the changes of one answer from \p Source.
+  void beginBatch(std::string Source) { m_BatchSource = std::move(Source); }
   /// \brief Records that every row of a table as of \p Version has been
   /// applied; 0 if a peer relayed it without having read it.
   void recordFullRead(const std::string &Table, std::uint64_t Version,
                       std::string_view Source);
-  /// \brief Ends the rows of one answer from \p Source: logs how many changes
-  /// were not listed.
-  void finishBatch(std::string_view Source);
+  /// \brief Ends them: logs how many changes were not listed.
+  void finishBatch();
   /// \brief Whether the store has just become reachable again: registrations
   /// that expired during the outage are about to be written again.
   [[nodiscard]] bool storeJustReturned() const;
@@ -148,6 +150,7 @@
 
   /// Changes of upstreams since the last finishBatch().
   unsigned m_BatchUpstreamLines = 0;
+  std::string m_BatchSource; ///< See beginBatch().
 
   bool m_StoreReachable = false;
   TimePoint m_StoreLostAt{};
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -17,19 +17,21 @@
 
 } // namespace
 
-void StoreReplica::logUpstreamChange(std::initializer_list<LogField> Fields) {
-  if (m_BatchUpstreamLines++ < MaxUpstreamLinesPerBatch)
-    logEvent(LogLevel::Info, "upstream-changed", Fields);
+void StoreReplica::logUpstreamChange(std::vector<LogField> Fields) {
+  if (m_BatchUpstreamLines++ >= MaxUpstreamLinesPerBatch)
+    return;
+  Fields.push_back({"source", m_BatchSource});
+  logEvent(LogLevel::Info, "upstream-changed", Fields);
 }
 
-void StoreReplica::finishBatch(std::string_view Source) {
+void StoreReplica::finishBatch() {
   if (m_BatchUpstreamLines > MaxUpstreamLinesPerBatch)
     logEvent(LogLevel::Info, "upstreams-changed",
              {{"changes", std::to_string(m_BatchUpstreamLines)},
               {"notListed",
                std::to_string(m_BatchUpstreamLines - MaxUpstreamLinesPerBatch)},
               {"known", std::to_string(m_State.m_Upstreams.size())},
-              {"source", std::string(Source)}});
+              {"source", m_BatchSource}});
   m_BatchUpstreamLines = 0;
 }
 
@@ -189,17 +191,19 @@
 awaitable<void> StoreReplica::removeUpstreamLater(std::string Id,
                                                   std::uint64_t Version) {
   co_await sleepFor(m_State.m_Io, ReregistrationTime);
+  beginBatch("delayed removal");
   const auto &Rows = m_RowCaches[m_State.m_Decoder.m_Tables.m_Upstreams].rows();
   auto Found = Rows.find(Id);
   if (Found != Rows.end() && Found->second.m_Removed &&
       Found->second.m_Version == Version)
     removeUpstream(Id);
-  finishBatch("delayed removal");
+  finishBatch();
 }
 
 void StoreReplica::receivedDepartures(std::span<const UpstreamRunKey> Announced,
                                       std::span<const UpstreamRunKey> Removed,
                                       const VmName &Peer) {
+  beginBatch("heartbeat");
   UpstreamTable &Upstreams = m_State.m_Upstreams;
   for (UpstreamRunKey Run : Announced) {
     if (!Upstreams.announceLeaving(Run, steadyNow()))
@@ -219,7 +223,7 @@
                          {"peer", Peer.str()}});
       removeUpstream(Doubted->m_Registration.m_Id);
     }
-  finishBatch("departures");
+  finishBatch();
 }
 
 void StoreReplica::applyVmRow(const StoreRow &Row) {
@@ -293,6 +297,7 @@
   for (std::uint64_t Version : Rows.m_SyncedVersions)
     if (Version != 0)
       noteEra(eraOf(Version), "peer");
+  beginBatch("peer");
   std::vector<std::string> Names = tableNames();
   std::map<std::string, std::vector<StoreRow>> ByTable;
   for (const RelayedRow &Relayed : Rows.m_Rows) {
@@ -310,7 +315,7 @@
     }
     m_RowCaches[Names[I]].advanceSyncedVersion(Rows.m_SyncedVersions[I]);
   }
-  finishBatch("peer");
+  finishBatch();
 }
 
 } // namespace mustardspoke::steer
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -116,7 +116,7 @@
 }
 
 void logEvent(LogLevel Level, std::string_view Event,
-              std::initializer_list<LogField> Fields) {
+              std::span<const LogField> Fields) {
   if (!lineLimit().admit(std::chrono::steady_clock::now()))
     return;
   Json Line = Json::object();
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -33,6 +34,10 @@
 /// logEvent(LogLevel::Info, "bundle-adopted", {{"version", "4"}});
 /// \endcode
 void logEvent(LogLevel Level, std::string_view Event,
-              std::initializer_list<LogField> Fields = {});
+              std::span<const LogField> Fields);
+inline void logEvent(LogLevel Level, std::string_view Event,
+                     std::initializer_list<LogField> Fields = {}) {
+  logEvent(Level, Event, std::span(Fields.begin(), Fields.size()));
+}
 
 } // namespace mustardspoke
