Feed calls that the store may never answer are ended

Cause: a feed call waits up to 21.5 s and silence is its usual state. Answers to calls of before and of the outage were lost with their connections; that other calls had lost and reached the store ended no wait. Full reads found the changes, 3 to 6 s late, and readers took no rows from peers.

Change: the return of the store, a suspension, a new era and the end of the role end the waiting calls; a change known from elsewhere ends a call that should have brought it, after 0.5 s. Readers other than the first one of a region take rows from it once behind for 0.5 s. The soak's store loses the answers of a silence for good. Ruled out: shorter feed calls, ten times as many, all of them charged.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -311,14 +311,11 @@
 
 void PeerService::fetchRowsIfBehind(const Heartbeat &Heartbeat) {
   TimePoint Now = steadyNow();
-  if (m_Fetching || m_Replica.readsStore() ||
+  // The full reads of a region's first reader find what feeds have missed.
+  if (m_Fetching || m_Replica.isFirstReader() ||
       Now - m_LastFetchAt < MinFetchInterval)
     return;
   std::vector<std::uint64_t> OwnVersions = m_Replica.syncedVersions();
-  bool Behind = false;
-  for (std::size_t I = 0;
-       I < OwnVersions.size() && I < Heartbeat.m_SyncedVersions.size(); ++I)
-    Behind = Behind || Heartbeat.m_SyncedVersions[I] > OwnVersions[I];
   // In a large fleet only a few VMs get heartbeats from a store reader itself;
   // the others fetch rows from those VMs.
   bool SenderRelays =
@@ -328,7 +325,10 @@
   // A VM that can't read the store accepts a newer configuration from any peer.
   bool NewRoutes = Heartbeat.m_ConfigVersion >
                    (m_State.m_Routes ? m_State.m_Routes->m_Version : 0);
-  if (!(SenderRelays && Behind) && !(NewRoutes && !m_Replica.storeReachable()))
+  bool IsBehind = SenderRelays &&
+                  m_RowLag.mustFetch(OwnVersions, Heartbeat.m_SyncedVersions,
+                                     m_Replica.readsStore(), Now);
+  if (!IsBehind && !(NewRoutes && !m_Replica.storeReachable()))
     return;
   m_Fetching = true;
   m_LastFetchAt = Now;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -48,8 +48,7 @@
   awaitable<void> fetchRows(std::string Address,
                             std::vector<std::uint64_t> After);
   void handleHeartbeat(const Heartbeat &Heartbeat);
-  /// \brief Fetches rows from the sender if it is ahead of this VM and this VM
-  /// doesn't read the store itself.
+  /// \brief Fetches rows from the sender if this VM lags behind it.
   void fetchRowsIfBehind(const Heartbeat &Heartbeat);
   void send(const std::string &Bytes, const std::string &Address);
   /// \param Region Region of the receivers. Another region gets the loads of
@@ -68,6 +67,7 @@
   bool m_NewsPending = false; ///< sendNews() is about to run.
   bool m_Fetching = false;    ///< At most one fetch of rows runs at a time.
   TimePoint m_LastFetchAt{};
+  RowLag m_RowLag;
   ShareLog m_ShareLog;
 };
 
--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -35,6 +35,9 @@
 constexpr Duration RetryDelay = 300ms;
 /// The fleet writes its discovery rows again over this time per VM.
 constexpr Duration RestoreSpreadPerVm = 10ms;
+/// A change that is known from elsewhere reaches a feed within this time: a
+/// round trip on the longest path, and the delay between two calls.
+constexpr Duration FeedDelay = 500ms;
 /// Delay between two feed calls, so that a series of changes takes few calls.
 constexpr Duration MinFeedInterval = 250ms;
 Json discoveryRowValue(const EntryVm &Self) {
@@ -87,6 +90,7 @@
   logEvent(LogLevel::Info, "tables-doubted", {{"why", std::string(Reason)}});
   for (const std::string &Table : tableNames())
     m_FullReadDue[Table] = true;
+  endFeedCalls(Reason);
 }
 
 void StoreReplica::noteStoreResult(const StoreResult &Result,
@@ -98,11 +102,55 @@
     noteEra(eraOf(Result.m_Version), CallName);
   if (Reachable == m_StoreReachable)
     return;
+  bool IsFirstAnswer = m_StoreLostAt == TimePoint();
   m_StoreReachable = Reachable;
   (Reachable ? m_StoreReturnedAt : m_StoreLostAt) = steadyNow();
   logEvent(Reachable ? LogLevel::Info : LogLevel::Warning,
            Reachable ? "store-reached" : "store-lost",
            {{"call", std::string(CallName)}, {"cause", Result.m_Detail}});
+  // Calls of before or during the outage may never be answered.
+  if (Reachable && !IsFirstAnswer)
+    endFeedCalls("store-reached");
+}
+
+void StoreReplica::endFeedCalls(std::string_view Reason) {
+  for (const std::string &Table : tableNames())
+    endFeedCall(Table, Reason);
+}
+
+void StoreReplica::endFeedCall(const std::string &Table,
+                               std::string_view Reason) {
+  FeedCall &Call = m_FeedCalls[Table];
+  if (!Call.m_Waits || Call.m_Ended)
+    return;
+  Call.m_Ended = true;
+  logEvent(LogLevel::Info, "feed-call-ended",
+           {{"table", Table},
+            {"why", std::string(Reason)},
+            {"after", formatPosition(Call.m_After)},
+            {"ms", std::to_string(toMillis(steadyNow() - Call.m_BeganAt))}});
+  m_Store.endChangesCall(Table);
+}
+
+void StoreReplica::noteChangeBesideFeed(const std::string &Table,
+                                        std::uint64_t Version) {
+  FeedCall &Call = m_FeedCalls[Table];
+  if (!Call.m_Waits || Version <= Call.m_After ||
+      std::exchange(Call.m_IsStale, true))
+    return;
+  asio::co_spawn(
+      m_State.m_Io,
+      [this, Table, Number = Call.m_Number]() {
+        return endStaleFeedCall(Table, Number);
+      },
+      asio::detached);
+}
+
+awaitable<void> StoreReplica::endStaleFeedCall(std::string Table,
+                                               std::uint64_t Number) {
+  co_await sleepFor(m_State.m_Io, FeedDelay);
+  if (m_FeedCalls[Table].m_Number == Number)
+    endFeedCall(Table, "change-missed");
 }
 
 void StoreReplica::noteEra(std::uint64_t Era, std::string_view Source) {
@@ -179,6 +227,7 @@
     // must not make later removals tentative.
     m_StoreReachable = false;
     m_StoreLostAt = {};
+    endFeedCalls("follows-peers");
   }
 }
 
@@ -216,6 +265,20 @@
                                             : ReaderRole::Other;
 }
 
+awaitable<StoreResult> StoreReplica::callFeed(std::string Table,
+                                              std::uint64_t After) {
+  // Rare full reads don't reveal a dead link in time.
+  bool ReadsRarely =
+      fullReadInterval(VmsReadInterval, m_RowCaches[Table].rows().size()) >
+      VmsReadInterval;
+  FeedCall &Call = m_FeedCalls[Table];
+  Call = {Call.m_Number + 1, After, steadyNow(), true};
+  StoreResult Result = co_await m_Store.changes(
+      Table, After, ReadsRarely ? ShortFeedPollTimeout : FeedPollTimeout);
+  Call.m_Waits = false;
+  co_return Result;
+}
+
 awaitable<void> StoreReplica::feedLoop(std::string Table) {
   co_await sleepFor(m_State.m_Io, RoleSettleTime);
   while (!m_State.m_Leaving) {
@@ -226,11 +289,9 @@
       co_await m_FullReadDone.wait();
       continue;
     }
-    Duration Pause =
-        fullReadInterval(VmsReadInterval, m_RowCaches[Table].rows().size());
-    StoreResult Changes = co_await m_Store.changes(
-        Table, After,
-        Pause > VmsReadInterval ? ShortFeedPollTimeout : FeedPollTimeout);
+    StoreResult Changes = co_await callFeed(Table, After);
+    if (m_FeedCalls[Table].m_Ended)
+      continue;
     noteStoreResult(Changes, "feed " + Table);
     if (Changes.m_CallStatus == StoreCallStatus::Done) {
       beginBatch("feed " + Table);
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -49,6 +49,11 @@
                           std::span<const UpstreamRunKey> Removed,
                           const VmName &Peer);
 
+  /// \brief This VM is the one of its region whose full reads find what a feed
+  /// has missed.
+  [[nodiscard]] bool isFirstReader() const {
+    return readsStore() && currentRole() == ReaderRole::First;
+  }
   /// \brief This VM follows the store itself, and the last call succeeded.
   [[nodiscard]] bool readsStore() const noexcept {
     return m_ReadsStore && m_StoreReachable;
@@ -74,7 +79,28 @@
   enum class ReaderRole : std::uint8_t { None, Other, First };
   [[nodiscard]] ReaderRole currentRole() const;
 
+  /// \brief The call of a table's feed that waits for a change.
+  ///
+  /// The store holds it until something changes, so it doesn't show that its
+  /// answer has been lost, or that the connection is dead.
+  struct FeedCall {
+    std::uint64_t m_Number = 0; ///< Increases with each call.
+    std::uint64_t m_After = 0;  ///< It returns changes after this version.
+    TimePoint m_BeganAt{};
+    bool m_Waits = false;
+    bool m_Ended = false;   ///< By endFeedCall().
+    bool m_IsStale = false; ///< A change that it should return is known.
+  };
+
   awaitable<void> feedLoop(std::string Table);
+  awaitable<StoreResult> callFeed(std::string Table, std::uint64_t After);
+  /// \brief Ends a feed call that may never be answered; the feed's loop makes
+  /// the next one.
+  void endFeedCall(const std::string &Table, std::string_view Reason);
+  void endFeedCalls(std::string_view Reason);
+  /// \brief Notes that a change is known from elsewhere than the table's feed.
+  void noteChangeBesideFeed(const std::string &Table, std::uint64_t Version);
+  awaitable<void> endStaleFeedCall(std::string Table, std::uint64_t Number);
   awaitable<void> fullReadLoop(std::string Table, Duration ReadInterval);
   awaitable<bool> readTable(std::string Table);
   /// \brief Removes the rows that are missing from a full read at version
@@ -143,6 +169,7 @@
   std::map<std::string, RowCache> m_RowCaches;
   /// 0: needs a full read first.
   std::map<std::string, std::uint64_t> m_FeedVersions;
+  std::map<std::string, FeedCall> m_FeedCalls;
   Notifier m_FullReadDone; ///< Notified after a full read of a table.
 
   /// Whether this VM has a reader's role; true until it hears of others.
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -59,13 +59,16 @@
   bool Tentative = eraJustChanged() || (m_ReadsStore && storeJustReturned());
   for (const std::string &Key : Cache.missingKeys(Rows, Version)) {
     Cache.remove(Key, Version);
+    noteChangeBesideFeed(Table, Version);
     applyRow({Table, Key, {}, Version, true}, Tentative);
   }
 }
 
 void StoreReplica::putRow(const StoreRow &Row, bool Tentative) {
-  if (m_RowCaches[Row.m_Table].put(Row))
-    applyRow(Row, Tentative);
+  if (!m_RowCaches[Row.m_Table].put(Row))
+    return;
+  noteChangeBesideFeed(Row.m_Table, Row.m_Version);
+  applyRow(Row, Tentative);
 }
 
 void StoreReplica::applyRow(const StoreRow &Row, bool Tentative) {
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -14,6 +14,7 @@
 #include "steer/retry_budget.h"
 #include "steer/route_table.h"
 #include "steer/row_cache.h"
+#include "steer/row_lag.h"
 #include "steer/store_row.h"
 #include "steer/upstream.h"
 #include "steer/upstream_links.h"
--- a/tests/soak/table_standin.cpp
+++ b/tests/soak/table_standin.cpp
@@ -75,8 +75,8 @@
 
 awaitable<void> TableStandIn::serve(std::shared_ptr<ServerSide> Connection) {
   while (!(co_await Connection->readRequest()).empty()) {
-    while (m_Mode == TableMode::Silent)
-      co_await Connection->sleep(PollInterval);
+    if (m_Mode == TableMode::Silent)
+      co_return co_await staySilent(*Connection);
     if (m_Mode == TableMode::Busy) {
       co_await Connection->sendRaw(jsonAnswer(503, "{}"));
       continue;
@@ -84,6 +84,9 @@
     if (m_Mode == TableMode::Slow)
       co_await Connection->sleep(SlowAnswer);
     std::string Answer = co_await execute(*Connection);
+    // An answer that falls due in the silence is lost.
+    if (m_Mode == TableMode::Silent)
+      co_return co_await staySilent(*Connection);
     constexpr std::string_view LineEnd = "\r\n";
     Answer.insert(Answer.find(LineEnd) + LineEnd.size(),
                   "Store-Era: " + std::to_string(m_Era) + "\r\n");
@@ -95,6 +98,11 @@
   }
 }
 
+awaitable<void> TableStandIn::staySilent(ServerSide &Connection) {
+  while (!Connection.peerClosed())
+    co_await Connection.sleep(PollInterval);
+}
+
 awaitable<std::string> TableStandIn::execute(ServerSide &Connection) {
   std::string Target = Connection.head().m_Target;
   std::string Call = Target.substr(0, Target.find('?'));
--- a/tests/soak/table_standin.h
+++ b/tests/soak/table_standin.h
@@ -13,7 +13,8 @@
 enum class TableMode : std::uint8_t {
   Normal,
   Busy,        ///< Refuses every call.
-  Silent,      ///< Reads calls and never answers.
+  Silent,      ///< Reads calls and never answers: not later, and nothing that
+               ///< comes on the same connection.
   Slow,        ///< Answers after a second.
   LoseAnswers, ///< Executes calls and closes the connection without an answer.
 };
@@ -51,6 +52,8 @@
   using Table = std::map<std::string, Row>;
 
   steer::awaitable<void> serve(std::shared_ptr<test::ServerSide> Connection);
+  /// \brief Keeps a connection open until the other side closes it.
+  steer::awaitable<void> staySilent(test::ServerSide &Connection);
   steer::awaitable<std::string> execute(test::ServerSide &Connection);
   [[nodiscard]] std::string read(const std::string &Target) const;
   steer::awaitable<std::string> feed(std::string Target);
--- a/tests/unit/crash_rows_test.cpp
+++ b/tests/unit/crash_rows_test.cpp
@@ -28,6 +28,7 @@
                                  Duration) override {
     co_return done();
   }
+  void endChangesCall(const std::string &) override {}
   awaitable<StoreResult> write(StoreWrite Write) override {
     ++m_Writes;
     StoreResult Result = done();
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -19,6 +19,7 @@
     co_return result();
   }
   awaitable<StoreResult> write(StoreWrite) override { co_return result(); }
+  void endChangesCall(const std::string &) override {}
   bool m_Fails = false;
   std::uint64_t m_Version = 1;
 
@@ -100,8 +101,11 @@
     StoreResult Result;
     TimePoint Begin = steadyNow();
     TimePoint End = Begin + Wait + (IsSwallowed ? 1500ms : 0ms);
+    m_IsEnded[Table] = false;
     while (steadyNow() < End) {
       co_await sleepFor(m_Io, 20ms);
+      if (m_IsEnded[Table])
+        co_return Result;
       if (m_IsSilent && steadyNow() - Begin > KeepAliveTime)
         break;
       bool HasNews = !IsSwallowed && Table == "up" && !m_HasRow;
@@ -123,12 +127,16 @@
     Result.m_Version = m_Version;
     co_return Result;
   }
+  void endChangesCall(const std::string &Table) override {
+    m_IsEnded[Table] = true;
+  }
   bool m_IsSilent = false;
   bool m_HasRow = true;
   std::uint64_t m_Version = 5;
 
 private:
   asio::io_context &m_Io;
+  std::map<std::string, bool> m_IsEnded; ///< By table: the call that waits.
 };
 
 } // namespace
