A peer that doesn't answer doesn't hold up the rows of others

A VM that doesn't read the store fetches rows from one peer at a time. One that had vanished or was suspended held up all others for 2 s, the whole time that a departure may take.

After 0.5 s another peer is asked, up to four at a time. PeerRows/SilentPeerDoesntHoldUpTheRowsOfAnother failed before: over 1.2 s.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -25,6 +25,9 @@
 /// Peer addresses in one heartbeat.
 constexpr std::size_t MaxPeerAddresses = 8;
 constexpr Duration FetchTimeout = 2s;
+/// A fetch that takes longer doesn't keep others from being begun.
+constexpr Duration SlowFetchTime = 500ms;
+constexpr std::size_t MaxFetches = 4;
 /// News that arrive within this time are sent together.
 constexpr Duration NewsDelay = 10ms;
 /// Minimum time between fetches, so that a series of changes takes few
@@ -309,11 +312,21 @@
   fetchRowsIfBehind(Heartbeat);
 }
 
+bool PeerService::mayFetch(const std::string &Address, TimePoint Now) const {
+  Duration Age = Now - m_LastFetchAt;
+  if (m_FetchingFrom.empty())
+    return Age >= MinFetchInterval;
+  // A peer that has vanished or is suspended must not hold up the rows of
+  // others.
+  return Age >= SlowFetchTime && m_FetchingFrom.size() < MaxFetches &&
+         !m_FetchingFrom.contains(Address);
+}
+
 void PeerService::fetchRowsIfBehind(const Heartbeat &Heartbeat) {
   TimePoint Now = steadyNow();
   // The full reads of a region's first reader find what feeds have missed.
-  if (m_Fetching || m_Replica.isFirstReader() ||
-      Now - m_LastFetchAt < MinFetchInterval)
+  if (m_Replica.isFirstReader() ||
+      !mayFetch(Heartbeat.m_Sender.m_PeerAddress, Now))
     return;
   std::vector<std::uint64_t> OwnVersions = m_Replica.syncedVersions();
   // In a large fleet only a few VMs get heartbeats from a store reader itself;
@@ -330,7 +343,7 @@
                                      m_Replica.readsStore(), Now);
   if (!IsBehind && !(NewRoutes && !m_Replica.storeReachable()))
     return;
-  m_Fetching = true;
+  m_FetchingFrom.insert(Heartbeat.m_Sender.m_PeerAddress);
   m_LastFetchAt = Now;
   asio::co_spawn(
       m_State.m_Io,
@@ -403,7 +416,7 @@
         Rows = decodeRows(*Bytes);
     Timer.disarm();
   }
-  m_Fetching = false;
+  m_FetchingFrom.erase(Address);
   if (!Rows) {
     logEvent(LogLevel::Warning, "rows-from-peer-failed",
              {{"peer", Address},
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -7,6 +7,7 @@
 #include "gateway/store_replica.h"
 
 #include <map>
+#include <set>
 
 namespace mustardspoke::steer {
 
@@ -48,6 +49,9 @@
   awaitable<void> fetchRows(std::string Address,
                             std::vector<std::uint64_t> After);
   void handleHeartbeat(const Heartbeat &Heartbeat);
+  /// \brief Whether rows may be fetched from this peer: usually, one fetch runs
+  /// at a time.
+  [[nodiscard]] bool mayFetch(const std::string &Address, TimePoint Now) const;
   /// \brief Fetches rows from the sender if this VM lags behind it.
   void fetchRowsIfBehind(const Heartbeat &Heartbeat);
   void send(const std::string &Bytes, const std::string &Address);
@@ -64,8 +68,8 @@
   Udp::socket m_Socket;
   Tcp::acceptor m_Acceptor;
   unsigned m_Round = 0;
-  bool m_NewsPending = false; ///< sendNews() is about to run.
-  bool m_Fetching = false;    ///< At most one fetch of rows runs at a time.
+  bool m_NewsPending = false;           ///< sendNews() is about to run.
+  std::set<std::string> m_FetchingFrom; ///< Addresses of peers.
   TimePoint m_LastFetchAt{};
   RowLag m_RowLag;
   ShareLog m_ShareLog;
--- /dev/null
+++ b/tests/unit/peer_rows_test.cpp
@@ -0,0 +1,124 @@
+/// \file
+/// Rows that a VM fetches from its peers, over real sockets on loopback.
+#define BOOST_TEST_DYN_LINK
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/peers.h"
+#include "support/server_side.h"
+
+#include <boost/asio/write.hpp>
+
+using namespace mustardspoke;
+using namespace mustardspoke::steer;
+
+namespace {
+
+constexpr const char *OwnAddress = "127.0.9.1:18182";
+
+class DeadStore final : public RowStore {
+public:
+  awaitable<StoreResult> read(std::string) override { co_return StoreResult(); }
+  awaitable<StoreResult> changes(std::string, std::uint64_t,
+                                 Duration) override {
+    co_return StoreResult();
+  }
+  void endChangesCall(const std::string &) override {}
+  awaitable<StoreResult> write(StoreWrite) override { co_return StoreResult(); }
+};
+
+OperatorRow decodeOperator(const StoreRow &) { return {}; }
+UpstreamRow decodeUpstream(const StoreRow &Row,
+                           const std::map<FailureDomainName, RegionName> &) {
+  UpstreamRow Result;
+  Result.m_Facts.emplace();
+  Result.m_Facts->m_Id = Row.m_Key;
+  return Result;
+}
+
+GatewaySettings settings() {
+  GatewaySettings Result;
+  Result.m_Vm = VmName("self");
+  Result.m_PeerAddress = OwnAddress;
+  return Result;
+}
+
+/// \brief A peer that says it has read the store, and is asked for its rows.
+class Peer {
+public:
+  /// \param Answers Whether it answers.
+  Peer(asio::io_context &Io, const std::string &Ip, bool Answers)
+      : m_Io(Io), m_Address(Ip + ":18182"),
+        m_Acceptor(Io, parseEndpoint<Tcp>(m_Address).value()), m_Beats(Io) {
+    m_Beats.open(Udp::v4());
+    test::acceptEach(Io, m_Acceptor, [this, Answers](Tcp::socket Asked) {
+      auto Socket = std::make_shared<Tcp::socket>(std::move(Asked));
+      test::spawn(m_Io,
+                  [this, Answers, Socket]() { return serve(Socket, Answers); });
+    });
+  }
+
+  void sendHeartbeat() {
+    Heartbeat Beat;
+    Beat.m_Sender.m_Vm = VmName(m_Address);
+    Beat.m_Sender.m_Incarnation = 1;
+    Beat.m_Sender.m_PeerAddress = m_Address;
+    Beat.m_Sender.m_Ready = true;
+    Beat.m_Sender.m_FollowsStore = true;
+    Beat.m_SyncedVersions = {9, 9, 9};
+    std::string Bytes = encodeHeartbeat(Beat);
+    NetError Ignored;
+    m_Beats.send_to(asio::buffer(Bytes), parseEndpoint<Udp>(OwnAddress).value(),
+                    0, Ignored);
+  }
+
+private:
+  awaitable<void> serve(std::shared_ptr<Tcp::socket> Socket, bool Answers) {
+    char Buffer[4096];
+    NetError Error;
+    while (!Error)
+      co_await Socket->async_read_some(asio::buffer(Buffer), noThrow(Error));
+    if (!Answers)
+      co_await sleepFor(m_Io, 10s);
+    RelayedRows Rows;
+    Rows.m_Rows = {{{"up", "u", "", 5, false}, false}};
+    Rows.m_SyncedVersions = {9, 9, 9};
+    std::string Bytes = encodeRows(Rows);
+    co_await asio::async_write(*Socket, asio::buffer(Bytes), noThrow(Error));
+  }
+
+  asio::io_context &m_Io;
+  std::string m_Address;
+  Tcp::acceptor m_Acceptor;
+  Udp::socket m_Beats;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PeerRows)
+
+// Guards against changes that are heard of two seconds late: the peer that was
+// asked for rows is suspended, and the answers of others weren't sought.
+BOOST_AUTO_TEST_CASE(SilentPeerDoesntHoldUpTheRowsOfAnother) {
+  asio::io_context Io;
+  WireFormat Format{};
+  DeadStore Store;
+  GatewayState State(Io, settings(), Format,
+                     {decodeOperator, decodeUpstream, {"op", "up", "vm"}});
+  UpstreamPool Pool(Io);
+  StoreReplica Replica(State, Pool, Store);
+  PeerService Service(State, Replica);
+  BOOST_REQUIRE(!Service.start());
+  Peer Silent(Io, "127.0.9.2", false);
+  Peer Sound(Io, "127.0.9.3", true);
+  Silent.sendHeartbeat();
+  Io.run_for(std::chrono::milliseconds(100));
+  TimePoint Begin = steadyNow();
+  while (!State.m_Upstreams.find("u") && steadyNow() - Begin < 3s) {
+    Silent.sendHeartbeat();
+    Sound.sendHeartbeat();
+    Io.run_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST((steadyNow() - Begin < 1200ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
