An end by a fault of the process leaves a last line

The users saw processes that ended by themselves, and had no logs. A process that got SIGSEGV or SIGABRT ended without a line; nothing told such an end from a kill.

Handlers of the fatal signals write a line with what is safe there (own stack, no allocation, no blocking) and let the signal end the process; an exception that nothing catches is logged with its cause.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -143,6 +143,7 @@
 
 int runEntry(const Settings &Config, const Strategies &Rules) {
   startLog(Config.m_Vm.str(), Config.m_LogLevel);
+  logFatalEnds(Config.m_Vm.str());
   sigset_t Signals = handledSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/link_monitor.h"
 #include "gateway/peers.h"
 #include "gateway/share_report.h"
+#include "observe/last_line.h"
 #include "observe/log.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -430,6 +431,7 @@
   // Writing to a closed connection must return an error instead of raising a
   // signal.
   std::signal(SIGPIPE, SIG_IGN);
+  logFatalEnds(Settings.m_Vm.str());
   Gateway Process(Path, Settings, Adapter);
   int Status = Process.run();
   // Handlers of requests that the grace period cut off still refer to the
