--- a/src/gateway/row_store.h
+++ b/src/gateway/row_store.h
@@ -51,8 +51,8 @@
   /// up to \p Wait for the first change.
   virtual awaitable<StoreResult> changes(std::string Table, std::uint64_t After,
                                          Duration Wait) = 0;
-  /// \brief Ends the call of changes() for \p Table that is waiting, if there is
-  /// one; it returns soon, with StoreCallStatus::Unknown.
+  /// \brief Ends the call of changes() for \p Table that is waiting, if there
+  /// is one; it returns soon, with StoreCallStatus::Unknown.
   virtual void endChangesCall(const std::string &Table) = 0;
   virtual awaitable<StoreResult> write(StoreWrite Write) = 0;
 };
