No exception ends without a line, and no request without an answer

The users saw requests that ended without an answer, and processes that ended by themselves, without logs.

Change: startTask() and startService() log a failure; what the process needs is begun anew after a second, the request is answered (503 if it wasn't sent, else 502; a peer gets its statement), counters of running work are put back. The event loop goes on after an exception of a handler.

--- a/src/core/errors.cpp
+++ b/src/core/errors.cpp
@@ -54,6 +54,8 @@
      1min, "upstreams ended each time that they ran this request"},
     {ErrorKind::CallerGone, "caller-gone", 499, Outcome::Unknown, NoRetry,
      "the caller closed its connection"},
+    {ErrorKind::InternalError, "internal-error", 503, Outcome::NotRun, 500ms,
+     "this entry VM failed before it sent the request"},
     {ErrorKind::Unauthorized, "unauthorized", 401, Outcome::NotRun, NoRetry,
      "the operator token is missing or wrong"},
     {ErrorKind::BundleRefused, "bundle-refused", 422, Outcome::NotRun, NoRetry,
--- a/src/core/errors.h
+++ b/src/core/errors.h
@@ -35,6 +35,7 @@
   UpstreamLost,
   CrashesUpstreams,
   CallerGone,
+  InternalError,
   Unauthorized,
   BundleRefused,
   BundleConflict,
--- a/src/gateway/body_sender.cpp
+++ b/src/gateway/body_sender.cpp
@@ -2,6 +2,8 @@
 /// Sends the body of a request to an upstream while it arrives.
 #include "gateway/body_sender.h"
 
+#include "gateway/task.h"
+
 #include <boost/asio/write.hpp>
 
 namespace mustardspoke::steer {
@@ -20,14 +22,19 @@
 
 void BodySender::start() {
   m_Request->m_Body.beginSending();
-  asio::co_spawn(
-      m_Io, [Self = BodySenderPtr(this)]() { return Self->run(); },
-      asio::detached);
+  startTask(
+      m_Io, "body-sender",
+      [Self = BodySenderPtr(this)]() { return Self->run(); },
+      [Self = BodySenderPtr(this)] { Self->end(); });
 }
 
 awaitable<void> BodySender::run() {
   BodySenderPtr Self(this);
   m_HasSentAll = co_await sendAll();
+  end();
+}
+
+void BodySender::end() {
   if (!m_HasSentAll)
     abort();
   m_Request->m_Body.endSending();
--- a/src/gateway/body_sender.h
+++ b/src/gateway/body_sender.h
@@ -30,6 +30,7 @@
 
 private:
   awaitable<void> run();
+  void end();
   /// \returns Whether all of it was sent.
   awaitable<bool> sendAll();
   awaitable<bool> write(std::string_view Bytes);
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -2,6 +2,8 @@
 /// Read-ahead, order of responses, and timeouts for slow callers.
 #include "gateway/caller_connection.h"
 
+#include "gateway/task.h"
+
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -47,10 +49,11 @@
 
 void CallerConnection::start() {
   CallerConnectionPtr Self(this);
-  asio::co_spawn(
-      m_Io, [Self]() { return Self->readLoop(); }, asio::detached);
-  asio::co_spawn(
-      m_Io, [Self]() { return Self->serveLoop(); }, asio::detached);
+  auto Abort = [Self] { Self->abort(); };
+  startTask(
+      m_Io, "caller-read", [Self]() { return Self->readLoop(); }, Abort);
+  startTask(
+      m_Io, "caller-serve", [Self]() { return Self->serveLoop(); }, Abort);
 }
 
 awaitable<bool> CallerConnection::waitForTurn(PendingRequestPtr Request) {
@@ -216,12 +219,12 @@
       if (m_CloseAnnounced)
         return;
       Request->m_HandlerStarted = true;
-      asio::co_spawn(
-          m_Io,
+      startTask(
+          m_Io, "request",
           [Self = CallerConnectionPtr(this), Request]() {
             return Self->handle(Request);
           },
-          asio::detached);
+          [Self = CallerConnectionPtr(this)] { Self->abort(); });
     }
     // Requests after this one are not answered.
     if (!Request->m_Head.m_KeepAlive || Request->m_HeadTimedOut ||
--- a/src/gateway/crash_report.cpp
+++ b/src/gateway/crash_report.cpp
@@ -3,6 +3,7 @@
 #include "gateway/crash_report.h"
 
 #include "gateway/link_monitor.h"
+#include "gateway/task.h"
 #include "observe/log.h"
 
 #include <charconv>
@@ -82,10 +83,10 @@
             {"ends", std::to_string(State.m_CrashSuspects.endsOf(Request))}});
   if (!State.m_EndChecks.insert(Run).second)
     return; // The check that is running counts for this request as well.
-  asio::co_spawn(
-      State.m_Io,
+  startTask(
+      State.m_Io, "check-end",
       [&State, &Pool, Target]() { return checkEnd(State, Pool, Target); },
-      asio::detached);
+      [&State, Run] { State.m_EndChecks.erase(Run); });
 }
 
 void reportAnswer(GatewayState &State, RequestFingerprint Request,
--- a/src/gateway/crash_rows.cpp
+++ b/src/gateway/crash_rows.cpp
@@ -3,6 +3,7 @@
 /// discovery rows. They outlast the VMs that know of these requests.
 #include "gateway/crash_report.h"
 #include "gateway/store_replica.h"
+#include "gateway/task.h"
 
 #include <algorithm>
 
@@ -24,14 +25,12 @@
 
 void StoreReplica::followCrashReports() {
   m_State.m_OnCrashConfirmed = [this](RequestFingerprint Request) {
-    asio::co_spawn(
-        m_State.m_Io, [this, Request]() { return publishCrashRow(Request); },
-        asio::detached);
+    startTask(m_State.m_Io, "publish-crash-row",
+              [this, Request]() { return publishCrashRow(Request); });
   };
   m_State.m_OnCrashCleared = [this](RequestFingerprint Request) {
-    asio::co_spawn(
-        m_State.m_Io, [this, Request]() { return removeCrashRow(Request); },
-        asio::detached);
+    startTask(m_State.m_Io, "remove-crash-row",
+              [this, Request]() { return removeCrashRow(Request); });
   };
 }
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -3,6 +3,7 @@
 #include "gateway/exchange.h"
 
 #include "gateway/crash_report.h"
+#include "gateway/task.h"
 #include "observe/log.h"
 
 namespace mustardspoke::steer {
@@ -29,6 +30,8 @@
 /// A request under which so many upstreams have ended isn't sent to another one
 /// for the same caller.
 constexpr unsigned MaxEndedUpstreams = 2;
+/// Reason of the end of a request after an exception.
+constexpr std::string_view Failed = "failed";
 /// Reason of refusals of requests that end their upstreams.
 constexpr std::string_view CrashesUpstreams = "crashes-upstreams";
 
@@ -82,12 +85,45 @@
   m_Request->m_OnDisconnect = [this] { closeUpstream(); };
   m_Metadata = m_State.m_WireFormat.m_ReadRequestMetadata(m_Request->m_Head);
   m_HeadDigest = digestHead(m_Request->m_Head, m_Metadata);
-  bool Keep = servesPeer() ? co_await serveRelayed() : co_await route();
+  bool Keep = false;
+  std::exception_ptr Thrown;
+  try {
+    if (servesPeer())
+      Keep = co_await serveRelayed();
+    else
+      Keep = co_await route();
+  } catch (...) {
+    Thrown = std::current_exception();
+  }
+  if (Thrown)
+    Keep = co_await endAfterFailure(Thrown);
   m_Request->m_OnDisconnect = nullptr;
   m_Timer.cancel();
   co_return Keep;
 }
 
+awaitable<bool> Exchange::endAfterFailure(std::exception_ptr Thrown) {
+  logFailure("request " + m_Metadata.m_RequestId, Thrown);
+  closeUpstream();
+  if (BodySenderPtr Sender = std::exchange(m_BodySender, nullptr))
+    co_await Sender->stop();
+  m_Connection.reset();
+  m_InFlightGuard.reset();
+  m_WaitGuard.reset();
+  if (m_ResponseStarted || m_Caller->disconnected()) {
+    m_Caller->abort();
+    co_return false;
+  }
+  bool MayHaveRun = m_SentAttempts > 0;
+  m_MayHaveRun = m_MayHaveRun || MayHaveRun;
+  if (servesPeer())
+    co_return co_await sendRelayOutcome(
+        MayHaveRun ? RelayResult::Lost : RelayResult::NotSent, Failed);
+  co_return co_await refuse(
+      MayHaveRun ? ErrorKind::UpstreamLost : ErrorKind::InternalError,
+      errorInfo(ErrorKind::InternalError).m_RetryAfter, Failed);
+}
+
 awaitable<bool> Exchange::route() {
   if (m_Request->m_HeadTimedOut || requestBroke())
     co_return co_await refuseUnreadable();
@@ -317,6 +353,7 @@
   if (m_Request->m_Head.m_Method == "HEAD")
     Body.clear();
   record(Kind, Status, Reason);
+  m_ResponseStarted = true;
   bool StillConnected =
       co_await m_Caller->send(m_Request, Head.finish() + Body);
   co_return StillConnected && !m_ClosesConnection;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -85,6 +85,9 @@
   };
 
   awaitable<bool> route();
+  /// \brief Gives the caller a final answer, or the end of its connection,
+  /// after an exception.
+  awaitable<bool> endAfterFailure(std::exception_ptr Thrown);
   /// \brief Refuses a request of which a part can't be read.
   awaitable<bool> refuseUnreadable();
   /// \brief Ends the exchange at m_Deadline.
@@ -260,7 +263,7 @@
   std::string m_Peers;                  ///< That carried attempts, for the log.
   LinkListener m_LinkListener;
   StopListener m_StopListener;
-  /// Bytes of an upstream's response have been sent to the caller.
+  /// Bytes of a response may have been sent to the caller.
   bool m_ResponseStarted = false;
   /// A response to another request came first.
   bool m_StaleResponseSeen = false;
--- a/src/gateway/exchange_relay.cpp
+++ b/src/gateway/exchange_relay.cpp
@@ -131,6 +131,7 @@
   record(Result == RelayResult::NotSent ? ErrorKind::NoCapacity
                                         : ErrorKind::UpstreamLost,
          StatusBadGateway, Reason);
+  m_ResponseStarted = true;
   bool StillConnected = co_await m_Caller->send(m_Request, Head.finish());
   co_return StillConnected && !m_ClosesConnection;
 }
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -215,6 +215,7 @@
     Head.field("Content-Length", std::uint64_t(Response.m_Body.size()));
   record(isSuccess(Status) ? ErrorKind::None : ErrorKind::UpstreamLost, Status,
          isSuccess(Status) ? "" : "upstream-status");
+  m_ResponseStarted = true;
   bool StillConnected = co_await m_Caller->send(m_Request, Head.finish(),
                                                 std::move(Response.m_Body));
   co_return StillConnected && !m_ClosesConnection;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/link_monitor.h"
 #include "gateway/peers.h"
 #include "gateway/share_report.h"
+#include "gateway/task.h"
 #include "observe/last_line.h"
 #include "observe/log.h"
 
@@ -224,12 +225,9 @@
              {{"address", Address}, {"cause", Error.message()}});
     return false;
   }
-  asio::co_spawn(
-      m_Io,
-      [this, Acceptor, Handler, Limits]() {
-        return acceptLoop(Acceptor, Handler, Limits);
-      },
-      asio::detached);
+  startService(m_Io, "accept", [this, Acceptor, Handler, Limits]() {
+    return acceptLoop(Acceptor, Handler, Limits);
+  });
   return true;
 }
 
@@ -264,8 +262,9 @@
       reload("signal");
     } else if (!m_State.m_Leaving) {
       m_State.m_Leaving = true;
-      asio::co_spawn(
-          m_Io, [this]() { return shutDown(); }, asio::detached);
+      startTask(
+          m_Io, "stop", [this]() { return shutDown(); },
+          [this] { m_Io.stop(); });
     }
     armSignals();
   });
@@ -301,9 +300,8 @@
   logEvent(LogLevel::Info, "stopping",
            {{"inFlight", std::to_string(m_State.m_InFlight)}});
   m_Peers.broadcastHeartbeat();
-  asio::co_spawn(
-      m_Io, [this]() { return m_Replica.removeDiscoveryRow(); },
-      asio::detached);
+  startTask(m_Io, "remove-row",
+            [this]() { return m_Replica.removeDiscoveryRow(); });
   for (;;) {
     TimePoint Now = steadyNow();
     Duration AcceptingTime(
@@ -415,12 +413,10 @@
   armSignals();
   m_Replica.start();
   m_LinkMonitor.start();
-  asio::co_spawn(
-      m_Io, [this]() { return m_Replica.publishDiscoveryRow(); },
-      asio::detached);
-  asio::co_spawn(
-      m_Io, [this]() { return maintenanceLoop(); }, asio::detached);
-  m_Io.run();
+  startTask(m_Io, "publish-row",
+            [this]() { return m_Replica.publishDiscoveryRow(); });
+  startService(m_Io, "maintenance", [this]() { return maintenanceLoop(); });
+  runEvents(m_Io);
   return 0;
 }
 
--- a/src/gateway/link_monitor.cpp
+++ b/src/gateway/link_monitor.cpp
@@ -2,6 +2,8 @@
 /// Timing of the probes.
 #include "gateway/link_monitor.h"
 
+#include "gateway/task.h"
+
 #include "observe/log.h"
 
 namespace mustardspoke::steer {
@@ -89,8 +91,7 @@
 
 void LinkMonitor::start() {
   m_State.m_OwnLinks.m_HasPeers = [this] { return m_State.hasRelay(); };
-  asio::co_spawn(
-      m_State.m_Io, [this]() { return run(); }, asio::detached);
+  startService(m_State.m_Io, "link-monitor", [this]() { return run(); });
 }
 
 bool LinkMonitor::peerAsks() const {
@@ -149,8 +150,7 @@
     if (Links.hadContactSince(Began))
       co_return;
     if (I == 0)
-      asio::co_spawn(
-          m_State.m_Io, [this]() { return probePeer(); }, asio::detached);
+      startTask(m_State.m_Io, "probe-peer", [this]() { return probePeer(); });
   }
   co_await waitForProbes(Began,
                          FirstProbeTime + ProbeTimeout + ProbeSettleTime);
@@ -158,9 +158,9 @@
 
 void LinkMonitor::startProbe(const UpstreamPtr &Target) {
   ++m_RunningProbes;
-  asio::co_spawn(
-      m_State.m_Io, [this, Target]() { return runProbe(Target); },
-      asio::detached);
+  startTask(
+      m_State.m_Io, "probe", [this, Target]() { return runProbe(Target); },
+      [this] { --m_RunningProbes; });
 }
 
 awaitable<void> LinkMonitor::runProbe(UpstreamPtr Target) {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/crash_report.h"
 #include "gateway/limit_report.h"
+#include "gateway/task.h"
 #include "observe/log.h"
 
 #include <boost/asio/write.hpp>
@@ -83,12 +84,11 @@
     m_State.m_Fleet.m_Self.m_Links = m_State.m_OwnLinks.state();
     sendNewsSoon();
   };
-  asio::co_spawn(
-      m_State.m_Io, [this]() { return receiveLoop(); }, asio::detached);
-  asio::co_spawn(
-      m_State.m_Io, [this]() { return heartbeatLoop(); }, asio::detached);
-  asio::co_spawn(
-      m_State.m_Io, [this]() { return serveRows(); }, asio::detached);
+  startService(m_State.m_Io, "peers-receive",
+               [this]() { return receiveLoop(); });
+  startService(m_State.m_Io, "peers-send",
+               [this]() { return heartbeatLoop(); });
+  startService(m_State.m_Io, "peers-rows", [this]() { return serveRows(); });
   return Error;
 }
 
@@ -166,8 +166,7 @@
 void PeerService::sendNewsSoon() {
   if (std::exchange(m_NewsPending, true))
     return;
-  asio::co_spawn(
-      m_State.m_Io, [this]() { return sendNews(); }, asio::detached);
+  startTask(m_State.m_Io, "peers-news", [this]() { return sendNews(); });
 }
 
 awaitable<void> PeerService::sendNews() {
@@ -345,12 +344,11 @@
     return;
   m_FetchingFrom.insert(Heartbeat.m_Sender.m_PeerAddress);
   m_LastFetchAt = Now;
-  asio::co_spawn(
-      m_State.m_Io,
-      [this, Address = Heartbeat.m_Sender.m_PeerAddress, OwnVersions]() {
-        return fetchRows(Address, OwnVersions);
-      },
-      asio::detached);
+  std::string From = Heartbeat.m_Sender.m_PeerAddress;
+  startTask(
+      m_State.m_Io, "peers-fetch",
+      [this, From, OwnVersions]() { return fetchRows(From, OwnVersions); },
+      [this, From] { m_FetchingFrom.erase(From); });
 }
 
 awaitable<void> PeerService::serveRows() {
@@ -363,12 +361,9 @@
       co_await sleepFor(m_State.m_Io, MinHeartbeatInterval);
       continue;
     }
-    asio::co_spawn(
-        m_State.m_Io,
-        [this, PeerSocket = std::make_shared<Tcp::socket>(std::move(Peer))]() {
-          return serveRowsRequest(PeerSocket);
-        },
-        asio::detached);
+    startTask(m_State.m_Io, "peers-rows-request",
+              [this, PeerSocket = std::make_shared<Tcp::socket>(std::move(
+                         Peer))]() { return serveRowsRequest(PeerSocket); });
   }
 }
 
--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -3,6 +3,8 @@
 /// discovery row.
 #include "gateway/store_replica.h"
 
+#include "gateway/task.h"
+
 #include "observe/log.h"
 
 #include <algorithm>
@@ -74,15 +76,11 @@
         TableSchedule{Tables.m_Vms, VmsReadInterval}}) {
     std::string Table = Schedule.m_Table;
     Duration ReadInterval = Schedule.m_ReadInterval;
-    asio::co_spawn(
-        m_State.m_Io, [this, Table]() { return feedLoop(Table); },
-        asio::detached);
-    asio::co_spawn(
-        m_State.m_Io,
-        [this, Table, ReadInterval]() {
-          return fullReadLoop(Table, ReadInterval);
-        },
-        asio::detached);
+    startService(m_State.m_Io, "store-feed",
+                 [this, Table]() { return feedLoop(Table); });
+    startService(m_State.m_Io, "store-read", [this, Table, ReadInterval]() {
+      return fullReadLoop(Table, ReadInterval);
+    });
   }
 }
 
@@ -138,12 +136,10 @@
   if (!Call.m_Waits || Version <= Call.m_After ||
       std::exchange(Call.m_IsStale, true))
     return;
-  asio::co_spawn(
-      m_State.m_Io,
-      [this, Table, Number = Call.m_Number]() {
-        return endStaleFeedCall(Table, Number);
-      },
-      asio::detached);
+  startTask(m_State.m_Io, "stale-feed-call",
+            [this, Table, Number = Call.m_Number]() {
+              return endStaleFeedCall(Table, Number);
+            });
 }
 
 awaitable<void> StoreReplica::endStaleFeedCall(std::string Table,
@@ -162,8 +158,8 @@
   logEvent(LogLevel::Warning, "era-changed",
            {{"era", std::to_string(Era)}, {"source", std::string(Source)}});
   scheduleFullReads("era-changed");
-  asio::co_spawn(
-      m_State.m_Io, [this]() { return restoreDiscoveryRow(); }, asio::detached);
+  startTask(m_State.m_Io, "restore-rows",
+            [this]() { return restoreDiscoveryRow(); });
 }
 
 bool StoreReplica::eraJustChanged() const {
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -3,6 +3,7 @@
 #include "gateway/store_replica.h"
 
 #include "gateway/crash_report.h"
+#include "gateway/task.h"
 #include "observe/log.h"
 
 #include <algorithm>
@@ -130,12 +131,12 @@
         !m_State.m_Upstreams.wasRemoved(Known->m_Registration, steadyNow())) {
       m_State.m_Upstreams.setRemovalInDoubt(*Known);
       logUpstreamChange({{"upstream", Row.m_Key}, {"change", "in-doubt"}});
-      asio::co_spawn(
-          m_State.m_Io,
+      startTask(
+          m_State.m_Io, "delayed-removal",
           [this, Id = Row.m_Key, Version = Row.m_Version]() {
             return removeUpstreamLater(Id, Version);
           },
-          asio::detached);
+          [this, Id = Row.m_Key] { removeUpstream(Id); });
     } else {
       removeUpstream(Row.m_Key);
     }
--- a/tests/support/cut_gateway.h
+++ b/tests/support/cut_gateway.h
@@ -23,9 +23,8 @@
 /// same upstreams.
 class CutGateway {
 public:
-  CutGateway()
-      : m_Peer(m_Rig.m_Io, GatewaySettings(), platform::wireFormat(),
-               platform::decoder()),
+  explicit CutGateway(const WireFormat &PeersFormat = platform::wireFormat())
+      : m_Peer(m_Rig.m_Io, GatewaySettings(), PeersFormat, platform::decoder()),
         m_PeerPool(m_Rig.m_Io),
         m_RelayPort(m_Rig.m_Io, {asio::ip::make_address("127.0.0.1"), 0}) {
     acceptEach(m_Rig.m_Io, m_RelayPort, [this](Tcp::socket Socket) {
--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -130,7 +130,7 @@
 
 awaitable<bool> ExchangeRig::serve(CallerConnectionPtr Caller,
                                    PendingRequestPtr Request) {
-  Exchange Served(m_State, m_Pool, Caller, Request);
+  Exchange Served(*m_Serving, m_Pool, Caller, Request);
   co_return co_await Served.run();
 }
 
--- a/tests/support/exchange_rig.h
+++ b/tests/support/exchange_rig.h
@@ -48,6 +48,9 @@
               std::vector<steer::HttpResponse> &Responses,
               std::optional<Duration> CloseAfter = std::nullopt);
 
+  /// \brief Has requests served with another state, which outlives the rig's
+  /// use.
+  void serveWith(steer::GatewayState &State) { m_Serving = &State; }
   /// \brief Where callers connect.
   [[nodiscard]] steer::Tcp::endpoint callerAddress() const {
     return m_Callers.local_endpoint();
@@ -77,6 +80,7 @@
     std::vector<std::weak_ptr<ServerSide>> m_Connections;
   };
 
+  steer::GatewayState *m_Serving = &m_State;
   steer::Tcp::acceptor m_Callers;
   std::list<RunningUpstream> m_Upstreams;
   unsigned m_PendingCallers = 0;
