A stopping VM sends only what can end before it does

Another operator saw requests that came late in a planned stop accepted, sent and cut at its end.

Cause: requests were accepted during a fixed part of the grace period, whatever time they may take.

Change: from SIGTERM on, a request is sent only if its deadline is before the time at which requests are ended; else it is refused at once, as not run. Retries and attempts for other VMs, too. Ruled out: judging by the usual duration, which cuts the others off; shorter deadlines for upstreams.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -32,6 +32,8 @@
 constexpr unsigned MaxEndedUpstreams = 2;
 /// Reason of the end of a request after an exception.
 constexpr std::string_view Failed = "failed";
+/// Reason of refusals of requests that the end of a shutdown may cut off.
+constexpr std::string_view Leaving = "leaving";
 /// Reason of refusals of requests that end their upstreams.
 constexpr std::string_view CrashesUpstreams = "crashes-upstreams";
 
@@ -127,10 +129,6 @@
 awaitable<bool> Exchange::route() {
   if (m_Request->m_HeadTimedOut || requestBroke())
     co_return co_await refuseUnreadable();
-  if (!m_State.m_AcceptsRequests)
-    co_return co_await refuse(ErrorKind::Leaving,
-                              errorInfo(ErrorKind::Leaving).m_RetryAfter,
-                              "leaving");
   if (m_State.m_Buffers.room() == BufferRoom::None) {
     ++m_State.m_Buffers.m_Counters.m_Refused;
     co_return co_await refuse(ErrorKind::NoCapacity, BuffersFullRetryAfter,
@@ -150,6 +148,10 @@
   Duration CallerTimeout =
       m_Metadata.m_CallerTimeout.value_or(m_Route->m_Timeout);
   m_Deadline = m_ArrivedAt + std::min(CallerTimeout, m_Route->m_Timeout);
+  if (m_State.mayCutOff(m_Deadline))
+    co_return co_await refuse(ErrorKind::Leaving,
+                              errorInfo(ErrorKind::Leaving).m_RetryAfter,
+                              Leaving);
   // If an earlier response closes the connection, the caller sends this request
   // again, so it must not have been started by then.
   if (!m_Route->idempotent() && !co_await m_Caller->waitForTurn(m_Request))
@@ -235,6 +237,10 @@
   for (unsigned UnsentAttempts = 0; UnsentAttempts < MaxUnsentAttempts;) {
     if (cancelled())
       co_return co_await giveUp(Last, MissingConfigRetryAfter, "deadline");
+    // The shutdown has begun since the request was accepted.
+    if (m_State.mayCutOff(m_Deadline))
+      co_return co_await giveUp(
+          Last, errorInfo(ErrorKind::Leaving).m_RetryAfter, Leaving);
     CrashVerdict Verdict = co_await settledCrashVerdict();
     if (Verdict == CrashVerdict::Refuse)
       co_return co_await giveUp(Last, crashRetryAfter(), CrashesUpstreams);
@@ -315,6 +321,8 @@
     co_return co_await refuse(m_TimedOut ? ErrorKind::DeadlineAfterSend
                                          : ErrorKind::UpstreamLost,
                               Duration::zero(), Reason);
+  if (Reason == Leaving)
+    co_return co_await refuse(ErrorKind::Leaving, RetryAfter, Reason);
   if (Reason == CrashesUpstreams)
     co_return co_await refuse(ErrorKind::CrashesUpstreams, RetryAfter, Reason);
   co_return co_await refuse(Last == AttemptResult::NotRun
--- a/src/gateway/exchange_relay.cpp
+++ b/src/gateway/exchange_relay.cpp
@@ -58,7 +58,7 @@
 }
 
 std::string_view Exchange::relayRefusal(const UpstreamPtr &Target) const {
-  if (!m_State.m_AcceptsRequests)
+  if (m_State.mayCutOff(m_Deadline))
     return "leaving";
   if (m_State.m_OwnLinks.state() == LinkState::Lost)
     return NoLinks;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -29,10 +29,6 @@
 constexpr Duration GraceMargin = 600ms;
 /// Time to answer the callers of requests that are still being served then.
 constexpr Duration LastAnswersTime = 100ms;
-/// Fraction of the grace period in which new requests are accepted; the rest is
-/// for running ones. Later requests are refused, which sends their callers to
-/// another VM. Closing their connections would leave some without a response.
-constexpr double AcceptingFraction = 0.45;
 /// A leaving VM keeps running for callers that still use an old look-up
 /// response.
 constexpr Duration MinDrainTime = 2500ms;
@@ -261,7 +257,8 @@
     if (SignalNumber == SIGHUP) {
       reload("signal");
     } else if (!m_State.m_Leaving) {
-      m_State.m_Leaving = true;
+      m_State.beginStop(steadyNow() + m_State.m_Settings.m_StopGracePeriod -
+                        GraceMargin);
       startTask(
           m_Io, "stop", [this]() { return shutDown(); },
           [this] { m_Io.stop(); });
@@ -304,19 +301,10 @@
             [this]() { return m_Replica.removeDiscoveryRow(); });
   for (;;) {
     TimePoint Now = steadyNow();
-    Duration AcceptingTime(
-        std::int64_t(double(m_State.m_Settings.m_StopGracePeriod.count()) *
-                     AcceptingFraction));
-    if (m_State.m_AcceptsRequests && Now - StartedAt > AcceptingTime) {
-      m_State.m_AcceptsRequests = false;
-      logEvent(LogLevel::Info, "stopped-taking",
-               {{"inFlight", std::to_string(m_State.m_InFlight)}});
-    }
     bool Idle = m_State.m_InFlight == 0 &&
                 Now - m_State.m_LastRequest > IdleTimeBeforeExit &&
                 Now - StartedAt > MinDrainTime;
-    if (Idle ||
-        Now - StartedAt > m_State.m_Settings.m_StopGracePeriod - GraceMargin)
+    if (Idle || Now > m_State.m_StopsAt)
       break;
     co_await sleepFor(m_Io, 50ms);
   }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -94,9 +94,9 @@
   TimePoint m_StartedAt = steadyNow();
   unsigned m_InFlight = 0;   ///< Requests read and not yet answered.
   TimePoint m_LastRequest{}; ///< When the last request was read.
-  /// False late in a shutdown: new requests are refused.
-  bool m_AcceptsRequests = true;
-  bool m_Leaving = false; ///< The stop signal was received; never reset.
+  bool m_Leaving = false;    ///< The stop signal was received; never reset.
+  /// When requests that are still being served are ended, during a shutdown.
+  TimePoint m_StopsAt = TimePoint::max();
   boost::intrusive::list<StopListener,
                          boost::intrusive::constant_time_size<false>>
       m_StopListeners;
@@ -106,6 +106,16 @@
   [[nodiscard]] bool ready() const noexcept {
     return m_Routes && m_Upstreams.size() > 0 && !m_Leaving;
   }
+  /// \brief Begins a shutdown, at whose end requests are ended.
+  void beginStop(TimePoint StopsAt) noexcept {
+    m_Leaving = true;
+    m_StopsAt = StopsAt;
+  }
+  /// \brief Whether a shutdown may end a request with this deadline, so that
+  /// it isn't to be sent to an upstream.
+  [[nodiscard]] bool mayCutOff(TimePoint Deadline) const noexcept {
+    return Deadline > m_StopsAt;
+  }
   /// \brief Ends the requests that are being served, as if their deadlines had
   /// passed: their callers get an answer, which takes some turns of the event
   /// loop.
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -354,7 +354,7 @@
   BOOST_REQUIRE(Responses.size() == 2);
   BOOST_TEST(Responses[0].m_Head.m_KeepAlive);
   BOOST_TEST(!Responses[1].m_Head.m_KeepAlive);
-  R.m_State.m_AcceptsRequests = false;
+  R.m_State.beginStop(steadyNow());
   Responses.clear();
   R.caller(unsafeRequest("c"), 1, Responses);
   R.run();
