A start waits for addresses that are still taken

One way: an address is taken for a moment, by a predecessor that still exits or by an outgoing connection's port. The process ended with status 2 at once. That this was their case is suspected only.

Change: one class binds all addresses and retries those that are taken or not there yet, for 3 s together; then the process ends as before, with the line.

Gateway/AddressThatIsFreedSoonIsWaitedFor failed before: the process had ended.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 /// Listeners, signals, settings reload and shutdown of the gateway process.
 #include "gateway/gateway.h"
 
+#include "gateway/address_binder.h"
 #include "gateway/buffer_report.h"
 #include "gateway/crash_report.h"
 #include "gateway/exchange.h"
@@ -34,6 +35,8 @@
 constexpr Duration MinDrainTime = 2500ms;
 /// After this time without a request, no caller is expected to send one.
 constexpr Duration IdleTimeBeforeExit = 700ms;
+/// For a predecessor that still has an address of this process.
+constexpr Duration MaxAddressWait = 3s;
 constexpr Duration TickInterval = 500ms;
 /// Room for the fields that a peer adds to a request.
 constexpr std::uint32_t RelayHeaderBytes = 1024;
@@ -99,7 +102,8 @@
   using LimitsFunction = CallerLimits (Gateway::*)() const;
 
   /// \param Limits Called for each connection.
-  [[nodiscard]] bool listen(const std::string &Address,
+  [[nodiscard]] bool listen(const AddressBinder &Binder,
+                            const std::string &Address,
                             const RequestHandler &Handler,
                             LimitsFunction Limits = &Gateway::callerLimits);
   awaitable<void> acceptLoop(std::shared_ptr<Tcp::acceptor> Acceptor,
@@ -201,26 +205,11 @@
   return Result;
 }
 
-bool Gateway::listen(const std::string &Address, const RequestHandler &Handler,
-                     LimitsFunction Limits) {
-  auto Endpoint = parseEndpoint<Tcp>(Address);
+bool Gateway::listen(const AddressBinder &Binder, const std::string &Address,
+                     const RequestHandler &Handler, LimitsFunction Limits) {
   auto Acceptor = std::make_shared<Tcp::acceptor>(m_Io);
-  NetError Error;
-  if (!Endpoint)
-    Error = asio::error::make_error_code(asio::error::invalid_argument);
-  if (!Error)
-    Acceptor->open(Endpoint->protocol(), Error);
-  if (!Error)
-    Acceptor->set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    Acceptor->bind(*Endpoint, Error);
-  if (!Error)
-    Acceptor->listen(asio::socket_base::max_listen_connections, Error);
-  if (Error) {
-    logEvent(LogLevel::Error, "listen-failed",
-             {{"address", Address}, {"cause", Error.message()}});
+  if (Binder.listen(*Acceptor, Address))
     return false;
-  }
   startService(m_Io, "accept", [this, Acceptor, Handler, Limits]() {
     return acceptLoop(Acceptor, Handler, Limits);
   });
@@ -371,26 +360,24 @@
     };
   };
   const GatewaySettings &Settings = m_State.m_Settings;
-  bool Listening =
-      listen(Settings.m_CallerAddress, ForwardHandler(Source::Caller)) &&
-      listen(Settings.m_ReadyAddress, pageHandler(&Gateway::readyPage)) &&
-      listen(Settings.m_LookupAddress, pageHandler(&Gateway::lookupPage));
+  AddressBinder Binder(MaxAddressWait);
+  bool Listening = listen(Binder, Settings.m_CallerAddress,
+                          ForwardHandler(Source::Caller)) &&
+                   listen(Binder, Settings.m_ReadyAddress,
+                          pageHandler(&Gateway::readyPage)) &&
+                   listen(Binder, Settings.m_LookupAddress,
+                          pageHandler(&Gateway::lookupPage));
   if (Listening && !Settings.m_MetricsAddress.empty())
-    Listening =
-        listen(Settings.m_MetricsAddress, pageHandler(&Gateway::metricsPage));
+    Listening = listen(Binder, Settings.m_MetricsAddress,
+                       pageHandler(&Gateway::metricsPage));
   if (Listening && !Settings.m_RelayAddress.empty())
-    Listening = listen(Settings.m_RelayAddress, ForwardHandler(Source::Peer),
-                       &Gateway::relayLimits);
+    Listening = listen(Binder, Settings.m_RelayAddress,
+                       ForwardHandler(Source::Peer), &Gateway::relayLimits);
   if (Listening && !Settings.m_SeedAddress.empty())
-    Listening =
-        listen(Settings.m_SeedAddress, pageHandler(&Gateway::notFoundPage));
-  if (!Listening)
-    return 2;
-  if (NetError Error = m_Peers.start()) {
-    logEvent(LogLevel::Error, "listen-failed",
-             {{"address", Settings.m_PeerAddress}, {"cause", Error.message()}});
+    Listening = listen(Binder, Settings.m_SeedAddress,
+                       pageHandler(&Gateway::notFoundPage));
+  if (!Listening || m_Peers.start(Binder))
     return 2;
-  }
   logEvent(
       LogLevel::Info, "started",
       {{"callers", Settings.m_CallerAddress},
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -58,25 +58,13 @@
     : m_State(State), m_Replica(Replica), m_Socket(State.m_Io),
       m_Acceptor(State.m_Io) {}
 
-NetError PeerService::start() {
-  NetError Error;
-  auto UdpEndpoint = parseEndpoint<Udp>(m_State.m_Settings.m_PeerAddress);
-  auto TcpEndpoint = parseEndpoint<Tcp>(m_State.m_Settings.m_PeerAddress);
-  if (!UdpEndpoint || !TcpEndpoint)
-    return asio::error::make_error_code(asio::error::invalid_argument);
-  m_Socket.open(UdpEndpoint->protocol(), Error);
-  if (!Error)
-    m_Socket.bind(*UdpEndpoint, Error);
+NetError PeerService::start(const AddressBinder &Binder) {
+  const std::string &Address = m_State.m_Settings.m_PeerAddress;
+  NetError Error = Binder.bind(m_Socket, Address);
   if (!Error)
     m_Socket.non_blocking(true, Error);
   if (!Error)
-    m_Acceptor.open(TcpEndpoint->protocol(), Error);
-  if (!Error)
-    m_Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    m_Acceptor.bind(*TcpEndpoint, Error);
-  if (!Error)
-    m_Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+    Error = Binder.listen(m_Acceptor, Address);
   if (Error)
     return Error;
   m_State.m_OnNews = [this] { sendNewsSoon(); };
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -3,6 +3,7 @@
 /// store.
 #pragma once
 
+#include "gateway/address_binder.h"
 #include "gateway/share_report.h"
 #include "gateway/store_replica.h"
 
@@ -18,7 +19,7 @@
   PeerService(GatewayState &State, StoreReplica &Replica);
 
   /// \returns The error if the peer address can't be used.
-  [[nodiscard]] NetError start();
+  [[nodiscard]] NetError start(const AddressBinder &Binder);
   /// \brief Sends a heartbeat to every peer immediately, outside of the usual
   /// interval.
   void broadcastHeartbeat();
--- a/tests/unit/peer_rows_test.cpp
+++ b/tests/unit/peer_rows_test.cpp
@@ -107,7 +107,7 @@
   UpstreamPool Pool(Io);
   StoreReplica Replica(State, Pool, Store);
   PeerService Service(State, Replica);
-  BOOST_REQUIRE(!Service.start());
+  BOOST_REQUIRE(!Service.start(AddressBinder(0s)));
   Peer Silent(Io, "127.0.9.2", false);
   Peer Sound(Io, "127.0.9.3", true);
   Silent.sendHeartbeat();
