Requests behind an answer that may break off wait for it

Cause: requests that may be repeated were sent ahead of their turn, whatever was in front of them. An answer of which a part has been passed on can only end with the connection.

Change: a request waits while one in front of it is on a route for downloads, or on one that streamed an answer in the last minute. Others are sent ahead of their turn as before. Ruled out: buffering the download whole, which takes memory and time to the first byte.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -62,6 +62,27 @@
   co_return !disconnected();
 }
 
+awaitable<bool>
+CallerConnection::waitForWholeAnswers(PendingRequestPtr Request) {
+  auto IsBehindOther = [this, &Request] {
+    for (const PendingRequestPtr &Earlier : m_Queue) {
+      if (Earlier == Request)
+        return false;
+      if (Earlier->m_MayBreakConnection)
+        return true;
+    }
+    return false;
+  };
+  while (!disconnected() && IsBehindOther())
+    co_await m_TurnChanged.wait();
+  co_return !disconnected();
+}
+
+void CallerConnection::noteWholeAnswer(const PendingRequestPtr &Request) {
+  Request->m_MayBreakConnection = false;
+  m_TurnChanged.notify();
+}
+
 awaitable<bool> CallerConnection::send(PendingRequestPtr Request,
                                        std::string Bytes,
                                        std::string MoreBytes) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -36,6 +36,9 @@
 
   RequestBody m_Body;
 
+  /// Its answer may break off, which ends the connection. Set until the handler
+  /// knows better (CallerConnection::noteWholeAnswer()).
+  bool m_MayBreakConnection = true;
   bool m_HandlerStarted = false; ///< A handler has been started for it.
   bool m_HandlerDone = false;    ///< The handler has returned.
   bool m_KeepConnection = false; ///< Value that the handler returned.
@@ -74,6 +77,13 @@
   /// \brief Waits until all earlier requests have been answered.
   /// \returns Whether the caller is still connected.
   awaitable<bool> waitForTurn(PendingRequestPtr Request);
+  /// \brief Waits until no earlier request may end the connection with an
+  /// answer that breaks off: \p Request would have run for nobody.
+  /// \returns Whether the caller is still connected.
+  awaitable<bool> waitForWholeAnswers(PendingRequestPtr Request);
+  /// \brief Notes that the caller gets the answer to \p Request whole, or none
+  /// of it.
+  void noteWholeAnswer(const PendingRequestPtr &Request);
   /// \brief Sends bytes of the response to \p Request once all earlier requests
   /// have been answered.
   /// \param MoreBytes Sent after \p Bytes.
@@ -138,8 +148,9 @@
   Notifier m_RequestArrived;
   Notifier m_SpaceAvailable;
   Notifier m_BodyChanged;
-  Notifier m_TurnChanged; ///< A handler returned, or m_Queue has a new first
-                          ///< request.
+  /// A handler returned, m_Queue has a new first request, or
+  /// m_MayBreakConnection of a request has changed.
+  Notifier m_TurnChanged;
   asio::steady_timer m_TimeoutTimer; ///< Enforces the idle and header timeouts.
   /// Distinguishes the current wait from cancelled ones.
   std::uint64_t m_TimeoutGeneration = 0;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -30,6 +30,8 @@
 /// A request under which so many upstreams have ended isn't sent to another one
 /// for the same caller.
 constexpr unsigned MaxEndedUpstreams = 2;
+/// A route whose answers were streamed is expected to go on so for this time.
+constexpr Duration StreamMemory = 1min;
 /// Reason of the end of a request after an exception.
 constexpr std::string_view Failed = "failed";
 /// Reason of refusals of requests that the end of a shutdown may cut off.
@@ -152,9 +154,14 @@
     co_return co_await refuse(ErrorKind::Leaving,
                               errorInfo(ErrorKind::Leaving).m_RetryAfter,
                               Leaving);
+  if (!mayStream())
+    m_Caller->noteWholeAnswer(m_Request);
   // If an earlier response closes the connection, the caller sends this request
   // again, so it must not have been started by then.
-  if (!m_Route->idempotent() && !co_await m_Caller->waitForTurn(m_Request))
+  bool IsConnected = m_Route->idempotent()
+                         ? co_await m_Caller->waitForWholeAnswers(m_Request)
+                         : co_await m_Caller->waitForTurn(m_Request);
+  if (!IsConnected)
     co_return false;
   m_TargetService = m_State.m_TrafficSplit.next(*m_Route);
   m_State.m_RetryBudgets[m_TargetService].recordRequest(steadyNow());
@@ -167,6 +174,14 @@
   co_return co_await runAttempts();
 }
 
+bool Exchange::mayStream() const {
+  if (m_Route->m_RetrySafety == RetrySafety::Download)
+    return true;
+  auto Last = m_State.m_LastStreamed.find(m_Route->m_Name);
+  return Last != m_State.m_LastStreamed.end() &&
+         steadyNow() - Last->second < StreamMemory;
+}
+
 awaitable<bool> Exchange::refuseUnreadable() {
   bool TooLarge = m_Request->m_ParseError == HttpParseError::BodyTooLarge;
   co_await refuse(TooLarge ? ErrorKind::BodyTooLarge : ErrorKind::BadRequest,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -88,6 +88,9 @@
   /// \brief Gives the caller a final answer, or the end of its connection,
   /// after an exception.
   awaitable<bool> endAfterFailure(std::exception_ptr Thrown);
+  /// \brief Whether a part of the answer may reach the caller before its end is
+  /// known.
+  [[nodiscard]] bool mayStream() const;
   /// \brief Refuses a request of which a part can't be read.
   awaitable<bool> refuseUnreadable();
   /// \brief Ends the exchange at m_Deadline.
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -222,6 +222,7 @@
 }
 
 awaitable<AttemptResult> Exchange::streamResponse(HttpParser &Parser) {
+  m_State.m_LastStreamed[m_Route->m_Name] = steadyNow();
   const HttpHead &UpstreamHead = Parser.head();
   HeadWriter Head =
       HeadWriter::response(UpstreamHead.m_Status, UpstreamHead.m_Reason);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -88,6 +88,8 @@
   std::function<void()> m_OnNews;
   /// Running mean of the response size of each route in bytes, by route name.
   std::map<std::string, double> m_MeanResponseBytes;
+  /// When an answer of a route was last streamed, by route name.
+  std::map<std::string, TimePoint> m_LastStreamed;
 
   ReadDelay m_ReadDelay;
   Metrics m_Metrics;
--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -40,12 +40,14 @@
       m_Pool(m_Io), m_Callers(m_Io, loopback()) {
   auto Routes = std::make_shared<RouteTable>();
   Routes->m_Version = 1;
-  for (const char *Name : {"safe", "unsafe"}) {
+  for (const auto &[Name, Safety] :
+       {std::pair("safe", RetrySafety::Safe),
+        std::pair("unsafe", RetrySafety::Unsafe),
+        std::pair("download", RetrySafety::Download)}) {
     Route NewRoute;
     NewRoute.m_Name = Name;
     NewRoute.m_Prefix = "/" + std::string(Name) + "/";
-    NewRoute.m_RetrySafety =
-        NewRoute.m_Name == "safe" ? RetrySafety::Safe : RetrySafety::Unsafe;
+    NewRoute.m_RetrySafety = Safety;
     NewRoute.m_TargetLatency = 1s;
     NewRoute.m_Timeout = 3s;
     NewRoute.m_MaxAttempts = 2;
