--- a/tests/unit/stop_test.cpp
+++ b/tests/unit/stop_test.cpp
@@ -14,7 +14,7 @@
 
 /// \brief An upstream that refuses its first request unrun, and answers the
 /// others. \p OnFirst is called before the refusal.
-Script refusingFirst(unsigned &Requests, std::function<void()> OnFirst) {
+Script refusingFirst(unsigned &Requests, const std::function<void()> &OnFirst) {
   return [&Requests, OnFirst](ServerSide &Side) -> awaitable<void> {
     for (;;) {
       std::string Id = co_await Side.readRequest();
