A request that ended with an exception isn't notified of its caller's end

The failure of a handler ends its connection, which notifies the requests on it; one whose exchange was gone was notified as well, through a pointer to freed memory. The rows by which VMs find each other weren't written again after a failure.

Change: an exchange takes its callback back when it ends; these rows are written by services. Failures/ConnectionEndsIfARequestHasNoAnswer: with MALLOC_PERTURB_ set, a memory access violation before, none now.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -74,6 +74,7 @@
 
 Exchange::~Exchange() {
   *m_SelfHandle = nullptr;
+  m_Request->m_OnDisconnect = nullptr;
   --m_State.m_InFlight;
 }
 
@@ -101,7 +102,6 @@
   }
   if (Thrown)
     Keep = co_await endAfterFailure(Thrown);
-  m_Request->m_OnDisconnect = nullptr;
   m_Timer.cancel();
   co_return Keep;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -388,8 +388,8 @@
   armSignals();
   m_Replica.start();
   m_LinkMonitor.start();
-  startTask(m_Io, "publish-row",
-            [this]() { return m_Replica.publishDiscoveryRow(); });
+  startService(m_Io, "publish-row",
+               [this]() { return m_Replica.publishDiscoveryRow(); });
   startService(m_Io, "maintenance", [this]() { return maintenanceLoop(); });
   runEvents(m_Io);
   return 0;
--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -158,8 +158,8 @@
   logEvent(LogLevel::Warning, "era-changed",
            {{"era", std::to_string(Era)}, {"source", std::string(Source)}});
   scheduleFullReads("era-changed");
-  startTask(m_State.m_Io, "restore-rows",
-            [this]() { return restoreDiscoveryRow(); });
+  startService(m_State.m_Io, "restore-rows",
+               [this]() { return restoreDiscoveryRow(); });
 }
 
 bool StoreReplica::eraJustChanged() const {
--- a/src/gateway/task.h
+++ b/src/gateway/task.h
@@ -29,8 +29,9 @@
                  });
 }
 
-/// \brief Starts a coroutine that the process needs as long as it runs. If an
-/// exception leaves it, that is logged, and it is begun anew after a second.
+/// \brief Starts a coroutine that must do its work, or go on as long as the
+/// process runs. If an exception leaves it, that is logged, and it is begun
+/// anew after a second.
 void startService(asio::io_context &Io, std::string_view Name,
                   std::function<awaitable<void>()> Run);
 
--- a/tests/unit/failure_test.cpp
+++ b/tests/unit/failure_test.cpp
@@ -28,6 +28,10 @@
   throw std::runtime_error("injected");
 }
 
+RequestMetadata failToReadRequest(const HttpHead &) {
+  throw std::runtime_error("injected");
+}
+
 void failToAdd(HeadWriter &, Duration, const std::string &) {
   throw std::runtime_error("injected");
 }
@@ -89,6 +93,23 @@
   BOOST_TEST(State.m_Upstreams.find("u")->m_InFlight == 0U);
 }
 
+// Guards against a crash: the connection notified a request that had ended with
+// an exception.
+BOOST_AUTO_TEST_CASE(ConnectionEndsIfARequestHasNoAnswer) {
+  LogCapture Log;
+  ExchangeRig R;
+  WireFormat Failing = platform::wireFormat();
+  Failing.m_ReadRequestMetadata = failToReadRequest;
+  GatewayState State(R.m_Io, GatewaySettings(), Failing, platform::decoder());
+  R.serveWith(State);
+  std::vector<HttpResponse> Responses;
+  R.caller(safeRequest("a") + safeRequest("b"), 2, Responses);
+  R.run();
+  BOOST_TEST(Responses.empty());
+  BOOST_TEST(Log.contains("injected"));
+  BOOST_TEST(State.m_InFlight == 0U);
+}
+
 // A peer that asked for the attempt gets a statement, too.
 BOOST_AUTO_TEST_CASE(RelayedAttemptHasAResultAfterAnException) {
   for (bool AfterSend : {false, true}) {
