--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -78,7 +78,7 @@
   /// \returns Whether the caller is still connected.
   awaitable<bool> waitForTurn(PendingRequestPtr Request);
   /// \brief Waits until no earlier request may end the connection with an
-  /// answer that breaks off: \p Request would have run for nobody.
+  /// answer that breaks off: the answer to \p Request would be lost.
   /// \returns Whether the caller is still connected.
   awaitable<bool> waitForWholeAnswers(PendingRequestPtr Request);
   /// \brief Notes that the caller gets the answer to \p Request whole, or none
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -164,11 +164,12 @@
   /// \brief Reads until \p Until holds. \returns Whether it does.
   template <class Condition>
   awaitable<bool> readUntil(HttpParser &Parser, Condition Until);
-  /// \brief Reads the rest of a message that nobody gets.
+  /// \brief Reads and drops the rest of a message.
   /// \returns Whether it was read to its end.
   awaitable<bool> discardRest(HttpParser &Parser);
-  /// \brief Ends the attempt after a message whose head tells all. The rest is
-  /// awaited for a short time only, so that the connection can be reused.
+  /// \brief Ends the attempt after a message of which only the head counts. The
+  /// rest is awaited for a short time only, so that the connection can be
+  /// reused.
   awaitable<void> finishMessage(Upstream &Target, HttpParser &Parser);
   awaitable<AttemptResult> forwardResponse(UpstreamPtr Target,
                                            HttpParser &Parser);
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -13,13 +13,13 @@
 constexpr std::size_t MaxBufferedResponse = 512 << 10; // bytes
 /// The same while buffers are scarce. Most responses are smaller.
 constexpr std::size_t MinBufferedResponse = 16 << 10; // bytes
-/// A longer body that nobody gets isn't read to its end.
+/// A longer body that is to be dropped isn't read to its end.
 constexpr std::size_t MaxDiscardedBytes = 4 << 20;
 /// Interim responses and answers to other requests that may come before the
 /// answer.
 constexpr unsigned MaxOtherMessages = 16;
-/// Time for the rest of a message whose head tells all: a round trip on the
-/// longest path, twice.
+/// Time for the rest of a message of which only the head counts: a round trip
+/// on the longest path, twice.
 constexpr Duration RestOfMessageTime = 220ms;
 
 bool isServerError(unsigned Status) { return Status >= 500; }
--- a/src/gateway/task.cpp
+++ b/src/gateway/task.cpp
@@ -25,7 +25,7 @@
   } catch (const std::exception &Error) {
     Cause = Error.what();
   } catch (...) {
-    // Not derived from std::exception: there is nothing to be said of it.
+    // Not derived from std::exception, so it has no description.
   }
   logEvent(LogLevel::Error, "task-failed",
            {{"task", std::string(Part)}, {"cause", Cause}});
--- a/src/gateway/task.h
+++ b/src/gateway/task.h
@@ -1,5 +1,5 @@
 /// \file
-/// Coroutines and handlers that nobody waits for: what happens if one fails.
+/// Coroutines and handlers without a waiting caller: what happens on failure.
 #pragma once
 
 #include "gateway/net.h"
--- a/src/steer/row_lag.h
+++ b/src/steer/row_lag.h
@@ -11,8 +11,8 @@
 
 namespace mustardspoke::steer {
 
-/// \brief Tells a replica that lags behind its peers from one that is about to
-/// hear of a change itself.
+/// \brief Distinguishes a replica that lags behind its peers from one that is
+/// about to receive a change itself.
 class RowLag {
 public:
   /// A reader of the store hears of a change this soon after its peers: a round
