Customers with keys, public routes, and uploads

Change: an unknown type counts as unsafe and is reported; uploads are unsafe. Customers are an immutable table of the configuration in force. A request without a known key gets 401 unless its route is public; the upstream gets the customer's name instead of the key. The regions of route and customer both bind, also for peers that carry attempts. A key that is taken away ends open connections' use and waiting requests. Invalid customers are left out with a warning, the others are served. Without customers nothing changes.

--- a/src/core/errors.h
+++ b/src/core/errors.h
@@ -34,6 +34,8 @@
   UpstreamShed,
   UpstreamLost,
   CrashesUpstreams,
+  UnknownKey,
+  OverQuota,
   CallerGone,
   InternalError,
   Unauthorized,
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -32,6 +32,7 @@
 
 using ServiceName = Name<struct ServiceTag>;
 using TenantName = Name<struct TenantTag>;
+using CustomerName = Name<struct CustomerTag>;
 using TeamName = Name<struct TeamTag>;
 using RegionName = Name<struct RegionTag>;
 using FailureDomainName = Name<struct DomainTag>;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -34,6 +34,12 @@
 constexpr Duration StreamMemory = 1min;
 /// Reason of the end of a request after an exception.
 constexpr std::string_view Failed = "failed";
+/// Reason of refusals of requests without a valid key.
+constexpr std::string_view UnknownKey = "unknown-key";
+/// Reason of refusals of requests that no region may serve.
+constexpr std::string_view NoRegion = "no-region";
+/// Retry-After of the latter: only a new configuration helps.
+constexpr Duration NoRegionRetryAfter = 5s;
 /// Reason of refusals of requests that the end of a shutdown may cut off.
 constexpr std::string_view Leaving = "leaving";
 /// Reason of refusals of requests that end their upstreams.
@@ -147,6 +153,13 @@
   if (!m_Route)
     co_return co_await refuse(ErrorKind::UnknownService, Duration::zero(),
                               "no-route");
+  if (!identifyCustomer())
+    co_return co_await refuse(ErrorKind::UnknownKey, Duration::zero(),
+                              UnknownKey);
+  if (m_Customer && !haveCommonRegion(m_Route->m_AllowedRegions,
+                                      m_Customer->m_AllowedRegions))
+    co_return co_await refuse(ErrorKind::NoCapacity, NoRegionRetryAfter,
+                              NoRegion);
   Duration CallerTimeout =
       m_Metadata.m_CallerTimeout.value_or(m_Route->m_Timeout);
   m_Deadline = m_ArrivedAt + std::min(CallerTimeout, m_Route->m_Timeout);
@@ -174,6 +187,23 @@
   co_return co_await runAttempts();
 }
 
+bool Exchange::identifyCustomer() {
+  if (!hidesCredential())
+    return true;
+  m_Customer = m_Routes->m_Customers.findByKey(m_Metadata.m_CustomerKey);
+  return m_Customer || m_Route->m_IsPublic;
+}
+
+bool Exchange::isKeyRevoked() const {
+  const RouteTablePtr &Newest = m_State.m_Routes;
+  if (!m_Customer || m_Route->m_IsPublic || Newest == m_Routes)
+    return false;
+  const Customer *Owner =
+      Newest->m_Customers.findByKey(m_Metadata.m_CustomerKey);
+  return Newest->m_Customers.requiresKeys() &&
+         (!Owner || Owner->m_Name != m_Customer->m_Name);
+}
+
 bool Exchange::mayStream() const {
   if (m_Route->m_RetrySafety == RetrySafety::Download)
     return true;
@@ -220,7 +250,7 @@
 Choice Exchange::choose(UpstreamStrategy Strategy,
                         std::span<const Upstream *const> Excluded) const {
   ChoiceInput Input{*m_Route, m_Routes->findService(m_TargetService),
-                    m_TargetService};
+                    m_TargetService, m_Customer};
   // A request without an affinity key is distributed by its own identifier.
   Input.m_KeyHash =
       stableHash(m_Metadata.m_AffinityKey.empty() ? m_Metadata.m_RequestId
@@ -257,6 +287,8 @@
       co_return co_await giveUp(
           Last, errorInfo(ErrorKind::Leaving).m_RetryAfter, Leaving);
     CrashVerdict Verdict = co_await settledCrashVerdict();
+    if (isKeyRevoked())
+      co_return co_await giveUp(Last, Duration::zero(), UnknownKey);
     if (Verdict == CrashVerdict::Refuse)
       co_return co_await giveUp(Last, crashRetryAfter(), CrashesUpstreams);
     if (Verdict == CrashVerdict::Wait)
@@ -338,6 +370,8 @@
                               Duration::zero(), Reason);
   if (Reason == Leaving)
     co_return co_await refuse(ErrorKind::Leaving, RetryAfter, Reason);
+  if (Reason == UnknownKey)
+    co_return co_await refuse(ErrorKind::UnknownKey, RetryAfter, Reason);
   if (Reason == CrashesUpstreams)
     co_return co_await refuse(ErrorKind::CrashesUpstreams, RetryAfter, Reason);
   co_return co_await refuse(Last == AttemptResult::NotRun
@@ -406,6 +440,7 @@
        {"route", m_Route ? m_Route->m_Name : ""},
        {"routes", std::to_string(m_Routes ? m_Routes->m_Version : 0)},
        {"service", m_TargetService.str()},
+       {"customer", m_Customer ? m_Customer->m_Name.str() : ""},
        {"key", m_Metadata.m_AffinityKey},
        {"request",
         Reason == CrashesUpstreams ? formatFingerprint(*fingerprint()) : ""},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -85,6 +85,16 @@
   };
 
   awaitable<bool> route();
+  /// \brief Whether the caller may use m_Route; sets m_Customer.
+  [[nodiscard]] bool identifyCustomer();
+  /// \brief Whether the newest configuration still knows the caller's key. A
+  /// request may have waited since it was accepted.
+  [[nodiscard]] bool isKeyRevoked() const;
+  /// \brief Whether the fields that name the caller are replaced by the
+  /// customer's name.
+  [[nodiscard]] bool hidesCredential() const noexcept {
+    return m_Routes && m_Routes->m_Customers.requiresKeys();
+  }
   /// \brief Gives the caller a final answer, or the end of its connection,
   /// after an exception.
   awaitable<bool> endAfterFailure(std::exception_ptr Thrown);
@@ -241,6 +251,9 @@
   RouteTablePtr m_Routes; ///< Version that the request is served under.
   /// Points into m_Routes, or to m_PeersRoute.
   const Route *m_Route = nullptr;
+  /// On whose behalf the caller sends. Points into m_Routes; null if callers
+  /// need no key.
+  const Customer *m_Customer = nullptr;
   Route m_PeersRoute; ///< What is known of the route of a peer's request.
   ServiceName m_TargetService;
   TimePoint m_Deadline;
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -59,10 +59,14 @@
   for (const HttpField &Field : CallerHead.m_Fields)
     if (!HopByHop.contains(Field.m_Name) &&
         !m_State.m_WireFormat.m_IsGatewayRequestField(Field.m_Name) &&
-        !isRelayField(Field.m_Name))
+        !isRelayField(Field.m_Name) &&
+        !(hidesCredential() &&
+          m_State.m_WireFormat.m_IsCustomerField(Field.m_Name)))
       ForwardedHead.field(Field.m_Name, Field.m_Value);
   m_State.m_WireFormat.m_AddForwardFields(ForwardedHead, remaining(),
                                           Target.m_Registration.m_Id);
+  if (m_Customer)
+    m_State.m_WireFormat.m_AddCustomerField(ForwardedHead, m_Customer->m_Name);
   if (m_Connection->isToPeer())
     addRelayFields(ForwardedHead,
                    {runKey(Target.m_Registration), m_Route->idempotent()});
--- a/src/gateway/exchange_relay.cpp
+++ b/src/gateway/exchange_relay.cpp
@@ -21,7 +21,7 @@
 
 awaitable<UpstreamConnectionPtr> Exchange::connectToPeer(UpstreamPtr Target) {
   const EntryVm *Peer = m_State.m_Fleet.selectRelay(
-      {Target->m_IdHash, Target->m_Registration.m_Region, m_Route},
+      {Target->m_IdHash, Target->m_Registration.m_Region, m_Route, m_Customer},
       steadyNow());
   if (!Peer) {
     m_Outcome.m_Cause = "no-peer";
--- a/src/gateway/row_decoder.h
+++ b/src/gateway/row_decoder.h
@@ -14,6 +14,8 @@
   RouteTablePtr m_Routes; ///< For Routes; null if the row can't be decoded.
   FailureDomainName m_Evacuated; ///< For Evacuation.
   std::string m_Error; ///< Place and cause, if the row can't be decoded.
+  /// Place and cause of parts that are left out or replaced by a safe value.
+  std::vector<std::string> m_Warnings;
 };
 
 /// \brief A decoded upstream registration, or the reason why it is invalid.
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -98,9 +98,13 @@
       m_State.m_Routes->m_Version >= Decoded.m_Routes->m_Version)
     return;
   m_State.m_Routes = Decoded.m_Routes;
+  for (const std::string &Warning : Decoded.m_Warnings)
+    logEvent(LogLevel::Warning, "configuration-warning",
+             {{"row", formatPosition(Row.m_Version)}, {"cause", Warning}});
   logEvent(LogLevel::Info, "configuration-adopted",
            {{"version", std::to_string(Decoded.m_Routes->m_Version)},
             {"routes", std::to_string(Decoded.m_Routes->size())},
+            {"customers", std::to_string(Decoded.m_Routes->m_Customers.size())},
             {"row", formatPosition(Row.m_Version)}});
 }
 
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -19,6 +19,8 @@
   std::string m_AffinityKey;
   /// What tells the caller from others; empty if callers don't say.
   std::string m_CallerCredential;
+  /// The customer's key in it; empty if there is none, or if it is malformed.
+  std::string m_CustomerKey;
   /// Time that the caller waits for the response.
   std::optional<Duration> m_CallerTimeout;
 };
@@ -62,6 +64,11 @@
   /// Whether the gateway sets or consumes the field itself.
   bool (*m_IsGatewayRequestField)(std::string_view Name);
   bool (*m_IsGatewayResponseField)(std::string_view Name);
+  /// Adds the name of the customer on whose behalf the request is sent.
+  void (*m_AddCustomerField)(HeadWriter &Head, const CustomerName &Customer);
+  /// Whether callers prove with the field who they are, or upstreams read the
+  /// customer's name from it: neither is passed on if callers need keys.
+  bool (*m_IsCustomerField)(std::string_view Name);
   /// Adds the request's identifier to a response that the gateway creates.
   void (*m_AddGatewayResponseFields)(HeadWriter &Head,
                                      const std::string &RequestId,
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -141,7 +141,7 @@
   Refusal.m_RefusalReason = RefusalReason::NoCandidate;
   Refusal.m_RetryAfter = 500ms;
   for (const UpstreamPtr &Entry : Table.upstreamsOf(Input.m_ServiceName)) {
-    if (!Input.m_Route.allows(Entry->m_Registration.m_Region))
+    if (!Input.allows(Entry->m_Registration.m_Region))
       continue;
     Exclusion Reason = Table.exclusion(*Entry, Input.m_Now);
     if (Reason == Exclusion::Quiet)
@@ -179,7 +179,7 @@
   for (const UpstreamPtr &Entry : All) {
     if (Table.exclusion(*Entry, Input.m_Now) != Exclusion::None ||
         wasTried(*Entry, Input.m_Tried) ||
-        !Input.m_Route.allows(Entry->m_Registration.m_Region) ||
+        !Input.allows(Entry->m_Registration.m_Region) ||
         !isWithinLimit(*Entry, Input))
       continue;
     Candidate Next;
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -49,6 +49,8 @@
   const Route &m_Route;
   const ServiceSettings *m_ServiceSettings = nullptr; ///< Null if unknown.
   ServiceName m_ServiceName;
+  /// Null if callers need no key.
+  const Customer *m_Customer = nullptr;
   std::uint64_t m_KeyHash = 0;
   TimePoint m_Now;
   /// Time left until the target latency; negative once it has passed.
@@ -68,6 +70,13 @@
   double (*m_SenderFraction)(const void *Fleet, const Upstream &Target,
                              unsigned MaxSenders, TimePoint Now) = nullptr;
   const void *m_Fleet = nullptr; ///< First argument of m_SenderFraction.
+
+  /// \brief Whether upstreams of \p Region may get the request: the regions of
+  /// the route and of the customer both bind.
+  [[nodiscard]] bool allows(const RegionName &Region) const noexcept {
+    return m_Route.allows(Region) &&
+           (!m_Customer || m_Customer->allows(Region));
+  }
 };
 
 /// \brief Why no upstream was selected.
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -36,7 +36,9 @@
 struct RelayNeed {
   std::uint64_t m_UpstreamHash = 0;
   RegionName m_UpstreamRegion;
-  const Route *m_Route = nullptr; ///< Says which regions may see the request.
+  /// These say which regions may see the request.
+  const Route *m_Route = nullptr;
+  const Customer *m_Customer = nullptr;
 };
 
 struct FleetTuning {
--- a/src/steer/route_table.h
+++ b/src/steer/route_table.h
@@ -4,6 +4,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "steer/customer_table.h"
 
 #include <cstdint>
 #include <map>
@@ -20,6 +21,7 @@
   Safe,     ///< Idempotent; may run on several upstreams.
   Unsafe,   ///< Must run at most once.
   Download, ///< Idempotent, with a large answer.
+  Upload,   ///< Must run at most once; has a large body.
 };
 
 /// \brief One target of a route and its share of the route's requests.
@@ -37,12 +39,14 @@
   Duration m_Timeout{};       ///< Longest time that a caller waits.
   unsigned m_Priority = 0;    ///< 0 is the most urgent.
   unsigned m_MaxAttempts = 1; ///< Upstreams that one request may be sent to.
+  bool m_IsPublic = false;    ///< Callers need no key.
   bool m_KeyAffinity = false; ///< Recently used keys are processed faster.
   std::vector<TrafficTarget> m_Targets;     ///< Never empty.
   std::vector<RegionName> m_AllowedRegions; ///< Empty: every region.
 
   [[nodiscard]] bool idempotent() const noexcept {
-    return m_RetrySafety != RetrySafety::Unsafe;
+    return m_RetrySafety == RetrySafety::Safe ||
+           m_RetrySafety == RetrySafety::Download;
   }
   [[nodiscard]] bool allows(const RegionName &Region) const noexcept;
 };
@@ -70,6 +74,7 @@
   std::uint64_t m_Version = 0;
   CallerLimits m_Limits;
   std::map<ServiceName, ServiceSettings> m_Services;
+  CustomerTable m_Customers;
 
   void add(const std::string &Host, Route NewRoute);
 
