--- a/src/inner/heartbeat.capnp
+++ b/src/inner/heartbeat.capnp
@@ -14,6 +14,18 @@
   serviceHash @0 :UInt64;   # hash of the service's name
   localShare @1 :Float32;   # fraction of its keys that the sender's region serves
   utilization @2 :Float32;  # fraction of the slots in use in the sender's region
+  # Fraction of the service's requests that the sender refuses for lack of room,
+  # the least urgent first.
+  refusedFraction @3 :Float32;
+}
+
+# Requests of a customer, for customers that are near their quotas.
+struct CustomerLoad {
+  customerHash @0 :UInt64;    # hash of the customer's name
+  offeredPerSecond @1 :Float32;  # all that arrived, whether admitted or not
+  admittedPerSecond @2 :Float32;
+  # Number of VMs that the figures are the sum of.
+  vms @3 :UInt16;
 }
 
 # Rate limit that an upstream stated in an answer.
@@ -82,6 +94,8 @@
   # lost, 2 lost; and whether it is trying to find out.
   links @25 :UInt8;
   doubtsLinks @26 :Bool;
+  # Of the sender, to VMs of its region; of its whole region, to VMs of others.
+  customerLoads @27 :List(CustomerLoad);
 }
 
 # Asks for the rows that changed after the given version of each table. An empty
--- a/src/inner/heartbeat.capnp.h
+++ b/src/inner/heartbeat.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(96f44ce3c43727b6);
 CAPNP_DECLARE_SCHEMA(dedb8dd8efeb3edf);
+CAPNP_DECLARE_SCHEMA(cfed6d554d6ff074);
 CAPNP_DECLARE_SCHEMA(c9aeda48b7ba50c0);
 CAPNP_DECLARE_SCHEMA(911edd6d5db48612);
 CAPNP_DECLARE_SCHEMA(85e556a46b20eb6a);
@@ -54,7 +55,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dedb8dd8efeb3edf, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(dedb8dd8efeb3edf, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CustomerLoad {
+  CustomerLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cfed6d554d6ff074, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -99,7 +115,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85e556a46b20eb6a, 6, 16)
+    CAPNP_DECLARE_STRUCT_HEADER(85e556a46b20eb6a, 6, 17)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -257,6 +273,8 @@
 
   inline float getUtilization() const;
 
+  inline float getRefusedFraction() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -294,6 +312,9 @@
   inline float getUtilization();
   inline void setUtilization(float value);
 
+  inline float getRefusedFraction();
+  inline void setRefusedFraction(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -320,6 +341,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class CustomerLoad::Reader {
+public:
+  typedef CustomerLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCustomerHash() const;
+
+  inline float getOfferedPerSecond() const;
+
+  inline float getAdmittedPerSecond() const;
+
+  inline  ::uint16_t getVms() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CustomerLoad::Builder {
+public:
+  typedef CustomerLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCustomerHash();
+  inline void setCustomerHash( ::uint64_t value);
+
+  inline float getOfferedPerSecond();
+  inline void setOfferedPerSecond(float value);
+
+  inline float getAdmittedPerSecond();
+  inline void setAdmittedPerSecond(float value);
+
+  inline  ::uint16_t getVms();
+  inline void setVms( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CustomerLoad::Pipeline {
+public:
+  typedef CustomerLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class UpstreamLimit::Reader {
 public:
   typedef UpstreamLimit Reads;
@@ -626,6 +738,9 @@
 
   inline bool getDoubtsLinks() const;
 
+  inline bool hasCustomerLoads() const;
+  inline  ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>::Reader getCustomerLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -806,6 +921,13 @@
   inline bool getDoubtsLinks();
   inline void setDoubtsLinks(bool value);
 
+  inline bool hasCustomerLoads();
+  inline  ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>::Builder getCustomerLoads();
+  inline void setCustomerLoads( ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>::Builder initCustomerLoads(unsigned int size);
+  inline void adoptCustomerLoads(::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>> disownCustomerLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1199,6 +1321,76 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline float ServiceShare::Reader::getRefusedFraction() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float ServiceShare::Builder::getRefusedFraction() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServiceShare::Builder::setRefusedFraction(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CustomerLoad::Reader::getCustomerHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CustomerLoad::Builder::getCustomerHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CustomerLoad::Builder::setCustomerHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float CustomerLoad::Reader::getOfferedPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float CustomerLoad::Builder::getOfferedPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CustomerLoad::Builder::setOfferedPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline float CustomerLoad::Reader::getAdmittedPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float CustomerLoad::Builder::getAdmittedPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CustomerLoad::Builder::setAdmittedPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t CustomerLoad::Reader::getVms() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t CustomerLoad::Builder::getVms() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void CustomerLoad::Builder::setVms( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t UpstreamLimit::Reader::getRun() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2155,6 +2347,40 @@
       ::capnp::bounded<67>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::hasCustomerLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasCustomerLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getCustomerLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getCustomerLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setCustomerLoads( ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initCustomerLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptCustomerLoads(
+    ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownCustomerLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mustardspoke::inner::CustomerLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+
 inline bool RowsRequest::Reader::hasAfterVersions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/inner/heartbeat_codec.cpp
+++ b/src/inner/heartbeat_codec.cpp
@@ -23,9 +23,11 @@
 constexpr std::int64_t MaxMillis = 0xffffffff; ///< Of an encoded age.
 /// Value of contactAgeMillis.
 constexpr std::uint32_t NoContact = 0xffffffff;
-constexpr double MaxCapacity = 1e6;    ///< Of a VM.
-constexpr double MaxUtilization = 1e6; ///< Of a region's slots.
-constexpr Duration AgeUnit = 100ms;    ///< Ages are rounded up to this.
+constexpr double MaxCapacity = 1e6;     ///< Of a VM.
+constexpr double MaxUtilization = 1e6;  ///< Of a region's slots.
+constexpr double MaxCustomerRate = 1e9; ///< Requests per second.
+constexpr unsigned MaxCustomerVms = 0xffff;
+constexpr Duration AgeUnit = 100ms; ///< Ages are rounded up to this.
 
 std::string toString(capnp::Text::Reader Text) {
   return {Text.begin(), Text.size()};
@@ -181,7 +183,14 @@
   for (auto Share : Message.getServiceShares())
     Result.m_ServiceShares.push_back(
         {Share.getServiceHash(), numberWithin(Share.getLocalShare(), 1, 1),
-         numberWithin(Share.getUtilization(), MaxUtilization, 0)});
+         numberWithin(Share.getUtilization(), MaxUtilization, 0),
+         numberWithin(Share.getRefusedFraction(), 1, 0)});
+  for (auto Load : Message.getCustomerLoads())
+    Result.m_CustomerLoads.push_back(
+        {Load.getCustomerHash(),
+         numberWithin(Load.getOfferedPerSecond(), MaxCustomerRate, 0),
+         numberWithin(Load.getAdmittedPerSecond(), MaxCustomerRate, 0),
+         std::max(1U, unsigned(Load.getVms()))});
   Result.m_PeerAges = decodePeerAges(Message.getPeerAges());
   Result.m_ReaderAges = decodePeerAges(Message.getReaderAges());
   Result.m_AnnouncedRuns = decodeNumbers(Message.getAnnouncedRuns());
@@ -297,6 +306,17 @@
     Shares[I].setServiceHash(Message.m_ServiceShares[I].m_ServiceHash);
     Shares[I].setLocalShare(float(Message.m_ServiceShares[I].m_LocalShare));
     Shares[I].setUtilization(float(Message.m_ServiceShares[I].m_Utilization));
+    Shares[I].setRefusedFraction(
+        float(Message.m_ServiceShares[I].m_RefusedFraction));
+  }
+  auto Customers =
+      Root.initCustomerLoads(unsigned(Message.m_CustomerLoads.size()));
+  for (unsigned I = 0; I < Customers.size(); ++I) {
+    const CustomerLoad &Load = Message.m_CustomerLoads[I];
+    Customers[I].setCustomerHash(Load.m_CustomerHash);
+    Customers[I].setOfferedPerSecond(float(Load.m_OfferedPerSecond));
+    Customers[I].setAdmittedPerSecond(float(Load.m_AdmittedPerSecond));
+    Customers[I].setVms(std::uint16_t(std::min(Load.m_Vms, MaxCustomerVms)));
   }
   encodePeerAges(Root.initPeerAges(unsigned(Message.m_PeerAges.size())),
                  Message.m_PeerAges);
--- a/src/inner/heartbeat_codec.h
+++ b/src/inner/heartbeat_codec.h
@@ -19,6 +19,17 @@
   std::uint64_t m_ServiceHash = 0;
   double m_LocalShare = 1;  ///< Fraction of the keys served in the region.
   double m_Utilization = 0; ///< Fraction of the region's slots in use.
+  /// Fraction of the service's requests that the sender refuses for lack of
+  /// room, the least urgent first.
+  double m_RefusedFraction = 0;
+};
+
+/// \brief Requests of one customer at one VM, or at all VMs of a region.
+struct CustomerLoad {
+  std::uint64_t m_CustomerHash = 0; ///< Of its name.
+  double m_OfferedPerSecond = 0;    ///< All that arrived, admitted or not.
+  double m_AdmittedPerSecond = 0;
+  unsigned m_Vms = 1; ///< The figures are the sum over so many VMs.
 };
 
 /// \brief What a VM knows of the rate limit of an upstream.
@@ -51,6 +62,9 @@
   std::vector<UpstreamRunKey> m_RemovedRuns;
   std::vector<PeerLimit> m_Limits;
   std::vector<CrashReport> m_Crashes;
+  /// Of customers near their quotas: of the sender, for VMs of its region; of
+  /// its region, for VMs of others.
+  std::vector<CustomerLoad> m_CustomerLoads;
 };
 
 [[nodiscard]] std::string encodeHeartbeat(const Heartbeat &Message);
--- a/tests/unit/inner_protocol_test.cpp
+++ b/tests/unit/inner_protocol_test.cpp
@@ -47,6 +47,7 @@
   Sent.m_Limits = {{8, 2.5, 1200ms}, {9, std::nullopt, 3ms}};
   Sent.m_Crashes = {{1ULL << 63, {{5, 7ms}, {6, 2s}}, 4ms, 3s, 2, 9h},
                     {10, {}, {}, {}, 0, {}}};
+  Sent.m_CustomerLoads = {{stableHash("c"), 12.5, 8, 3}};
   auto Received = decodeHeartbeat(encodeHeartbeat(Sent));
   BOOST_REQUIRE(Received.has_value());
   BOOST_TEST((Received->m_AnnouncedRuns == Sent.m_AnnouncedRuns));
@@ -79,6 +80,11 @@
   // Ages are sent in tenths of a second, rounded up.
   BOOST_TEST((Received->m_PeerAges.front().m_Age == 300ms));
   BOOST_TEST((Received->m_SyncedVersions == Sent.m_SyncedVersions));
+  BOOST_REQUIRE(Received->m_CustomerLoads.size() == 1U);
+  BOOST_TEST(Received->m_CustomerLoads[0].m_CustomerHash == stableHash("c"));
+  BOOST_TEST(Received->m_CustomerLoads[0].m_OfferedPerSecond == 12.5);
+  BOOST_TEST(Received->m_CustomerLoads[0].m_AdmittedPerSecond == 8);
+  BOOST_TEST(Received->m_CustomerLoads[0].m_Vms == 3U);
 }
 
 // Names and addresses are the larger part of a heartbeat with few loads, and
