--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -251,10 +251,12 @@
                         std::span<const Upstream *const> Excluded) const {
   ChoiceInput Input{*m_Route, m_Routes->findService(m_TargetService),
                     m_TargetService, m_Customer};
-  // A request without an affinity key is distributed by its own identifier.
-  Input.m_KeyHash =
-      stableHash(m_Metadata.m_AffinityKey.empty() ? m_Metadata.m_RequestId
-                                                  : m_Metadata.m_AffinityKey);
+  Input.m_KeyHash = keyHash();
+  if (usesPlacement()) {
+    Input.m_Placement = &m_State.m_KeyPlacement;
+    Input.m_ProcessingTimes =
+        m_State.m_Upstreams.processingTimes(m_TargetService);
+  }
   Input.m_Now = steadyNow();
   Input.m_TimeToTarget = m_ArrivedAt + m_Route->m_TargetLatency - Input.m_Now;
   Input.m_MeanProcessingTime =
@@ -311,6 +313,8 @@
     m_Choice = Selected;
     UpstreamPtr Target = m_Choice.m_Upstream;
     m_Tried.push_back(Target);
+    if (usesPlacement())
+      m_State.m_KeyPlacement.recordSent(keyHash(), *Target, steadyNow());
     Last = co_await attempt(Target, IsTrial);
     switch (Last) {
     case AttemptResult::Answered:
@@ -341,6 +345,13 @@
   co_return co_await giveUp(Last, 200ms, "unreachable");
 }
 
+std::uint64_t Exchange::keyHash() const {
+  // A request without an affinity key is distributed by its own identifier.
+  return stableHash(m_Metadata.m_AffinityKey.empty()
+                        ? m_Metadata.m_RequestId
+                        : m_Metadata.m_AffinityKey);
+}
+
 bool Exchange::mayRetry(AttemptResult Result) {
   if (Result != AttemptResult::NotRun && !m_Route->idempotent())
     return false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -113,6 +113,12 @@
   /// \param Excluded Upstreams that aren't selected.
   [[nodiscard]] Choice choose(UpstreamStrategy Strategy,
                               std::span<const Upstream *const> Excluded) const;
+  /// \brief Hash of what the request is distributed by.
+  [[nodiscard]] std::uint64_t keyHash() const;
+  /// \brief Whether upstreams that hold the request's key are preferred.
+  [[nodiscard]] bool usesPlacement() const noexcept {
+    return m_Route->m_KeyAffinity && !m_Metadata.m_AffinityKey.empty();
+  }
   /// \brief Whether another upstream may be tried after \p Result.
   [[nodiscard]] bool mayRetry(AttemptResult Result);
   awaitable<bool> giveUp(AttemptResult Last, Duration RetryAfter,
--- a/src/gateway/exchange_outcome.cpp
+++ b/src/gateway/exchange_outcome.cpp
@@ -83,6 +83,7 @@
     recordAnswer(*Target);
     break;
   case AttemptResult::NotRun:
+    m_State.m_KeyPlacement.recordRejected(keyHash(), *Target);
     break;
   case AttemptResult::NotSent:
     recordUnsent(*Target);
@@ -116,8 +117,11 @@
     Duration Work = Target.recordSuccess(
         m_Outcome.m_AnsweredAt, m_Outcome.m_AnsweredAt - m_Outcome.m_SentAt,
         m_Choice.m_Load, Tuning);
+    std::optional<bool> IsHeld;
+    if (!servesPeer() && usesPlacement())
+      IsHeld = m_Choice.m_IsHeld;
     m_State.m_Upstreams.recordProcessingTime(Target.m_Registration.m_Service,
-                                             Work);
+                                             Work, IsHeld);
   }
   double &Mean = m_State.m_MeanResponseBytes[m_Route->m_Name];
   Mean += (double(m_Outcome.m_BodyBytes) - Mean) * ResponseSizeWeight;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -202,9 +202,12 @@
     co_await sleepFor(m_State.m_Io, Interval);
     TimePoint Now = steadyNow();
     auto Loads = m_State.m_Fleet.peerActiveRequests(Now);
-    m_State.m_Upstreams.forEach([&Loads](Upstream &Target) {
+    const UpstreamHealthTuning &Tuning =
+        m_State.m_Settings.m_Choice.m_HealthTuning;
+    m_State.m_Upstreams.forEach([&](Upstream &Target) {
       auto Found = Loads.find(loadKey(Target.m_IdHash));
       Target.m_PeerActiveRequests = Found == Loads.end() ? 0 : Found->second;
+      Target.sampleLoad(Now, Tuning);
     });
     // What a VM sees of the upstreams is no reason to move keys while its own
     // links may be to blame.
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -3,7 +3,7 @@
 #include "steer/choice.h"
 
 #include <algorithm>
-#include <array>
+#include <cmath>
 
 namespace mustardspoke::steer {
 namespace {
@@ -78,6 +78,9 @@
                             : Input.m_MeanProcessingTime;
   if (Processing == Duration::zero())
     Processing = Tuning.m_InitialLatency;
+  Processing =
+      Duration(std::int64_t(double(Processing.count()) *
+                            Target.pace(Input.m_Now, Tuning.m_HealthTuning)));
   double Load = Target.load(Input.m_Now, Tuning.m_HealthTuning);
   double Slots = double(Target.m_Registration.m_Slots);
   double QueuedRounds = std::max(0.0, Load + 1 - Slots) / Slots;
@@ -86,6 +89,17 @@
              std::int64_t(double(Processing.count()) * (1 + QueuedRounds)));
 }
 
+/// \brief Mean time that requests wait at an upstream that is as busy as it was
+/// over the last seconds, in multiples of the processing time: Sakasegawa's
+/// approximation for a queue with several servers.
+double expectedWait(const Upstream &Target) {
+  constexpr double MaxUtilization = 0.97;
+  double Slots = double(Target.m_Registration.m_Slots);
+  double Utilization = std::min(Target.meanLoad() / Slots, MaxUtilization);
+  return std::pow(Utilization, std::sqrt(2 * (Slots + 1)) - 1) /
+         (Slots * (1 - Utilization));
+}
+
 bool hasFreeSlot(const Upstream &Target, const ChoiceInput &Input,
                  const ChoiceTuning &Tuning) {
   return Target.load(Input.m_Now, Tuning.m_HealthTuning) <=
@@ -217,6 +231,9 @@
   Result.m_Upstream = UpstreamPtr(Selected.m_Upstream);
   Result.m_Load = Selected.m_Upstream->load(Input.m_Now, Tuning.m_HealthTuning);
   Result.m_IsOverflow = Selected.m_Tier == Tier::Second;
+  Result.m_IsHeld = Input.m_Placement &&
+                    Input.m_Placement->isHeld(
+                        Input.m_KeyHash, *Selected.m_Upstream, Input.m_Now);
   if (Selected.m_Upstream->m_RateLimit.isSet(Input.m_Now))
     Selected.m_Upstream->m_RateLimit.recordRequest();
   return Result;
@@ -231,6 +248,45 @@
     std::erase_if(Candidates, InLastTier);
 }
 
+/// \brief Puts the better one of the two first candidates for the key at the
+/// front.
+///
+/// \details While both hold the key, or neither does, the one that is expected
+/// to answer first is better. A key that only one of them holds stays there
+/// until the other's shorter queue makes up for the time that the first request
+/// takes longer: by the mean queues of the last seconds, as a momentary one is
+/// gone before the key is held elsewhere.
+void orderHolders(std::span<Candidate> Holders, const ChoiceInput &Input,
+                  const ChoiceTuning &Tuning) {
+  if (Holders.size() < 2 || Holders[0].m_Tier != Holders[1].m_Tier)
+    return;
+  const Upstream &First = *Holders[0].m_Upstream;
+  const Upstream &Second = *Holders[1].m_Upstream;
+  bool FirstHolds =
+      Input.m_Placement->isHeld(Input.m_KeyHash, First, Input.m_Now);
+  bool SecondHolds =
+      Input.m_Placement->isHeld(Input.m_KeyHash, Second, Input.m_Now);
+  double FirstCost = 0;
+  double SecondCost = 0;
+  if (FirstHolds == SecondHolds) {
+    // The preference for the first one keeps VMs with slightly different
+    // reports from using both.
+    constexpr double Margin = 1.2;
+    FirstCost = double(expectedLatency(First, Input, Tuning).count());
+    SecondCost =
+        double(expectedLatency(Second, Input, Tuning).count()) * Margin;
+  } else {
+    double Processing = double(Input.m_ProcessingTimes.m_Held.count());
+    double Penalty = double(Input.m_ProcessingTimes.coldPenalty().count()) /
+                     Tuning.m_MoveHorizon;
+    FirstCost = Processing * expectedWait(First) + (FirstHolds ? 0 : Penalty);
+    SecondCost =
+        Processing * expectedWait(Second) + (SecondHolds ? 0 : Penalty);
+  }
+  if (SecondCost < FirstCost)
+    std::swap(Holders[0], Holders[1]);
+}
+
 Choice selectByKey(const ChoiceInput &Input, const UpstreamTable &Table,
                    const Placement &Local, const ChoiceTuning &Tuning) {
   std::vector<Candidate> Candidates =
@@ -244,10 +300,16 @@
       std::partition(Candidates.begin(), Candidates.end(), isHealthy);
   // Usually a holder accepts the request, so the others are sorted only if
   // they are needed.
-  auto NonHolders = Candidates.begin() +
-                    std::min<std::ptrdiff_t>(Tuning.m_HoldersPerKey,
-                                             Unhealthy - Candidates.begin());
+  bool PlacesKeys = Input.m_Placement && Input.m_Route.m_KeyAffinity;
+  unsigned HolderCount =
+      PlacesKeys ? std::max(Tuning.m_HoldersPerKey, Tuning.m_PlacementsPerKey)
+                 : Tuning.m_HoldersPerKey;
+  auto NonHolders =
+      Candidates.begin() +
+      std::min<std::ptrdiff_t>(HolderCount, Unhealthy - Candidates.begin());
   std::partial_sort(Candidates.begin(), NonHolders, Unhealthy, isPreferred);
+  if (PlacesKeys)
+    orderHolders(std::span(Candidates.begin(), NonHolders), Input, Tuning);
   Duration Soonest = 1s;
   for (const Candidate &Holder : std::span(Candidates.begin(), NonHolders)) {
     if (canMeetTarget(*Holder.m_Upstream, Input, Tuning))
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -21,6 +21,12 @@
   /// upstream caches the state of a limited number of keys; more holders per
   /// key evict other keys. See docs/design/08-load-model-and-soak.md.
   unsigned m_HoldersPerKey = 1;
+  /// Upstreams among which the holder of a key is selected if placements are
+  /// known.
+  unsigned m_PlacementsPerKey = 2;
+  /// A key moves from one of them to the other if that saves the additional
+  /// time of the first request over this many further ones.
+  double m_MoveHorizon = 4;
   /// Fraction of the time left until the target latency that the estimated
   /// queueing and processing may take. Above 1 because the mean processing
   /// time includes requests for keys that the upstream does not hold, which
@@ -69,6 +75,9 @@
   /// has an equal part.
   double (*m_SenderFraction)(const void *Fleet, const Upstream &Target,
                              unsigned MaxSenders, TimePoint Now) = nullptr;
+  /// Null if keys are placed by rank alone.
+  const KeyPlacement *m_Placement = nullptr;
+  ProcessingTimes m_ProcessingTimes;
   const void *m_Fleet = nullptr; ///< First argument of m_SenderFraction.
 
   /// \brief Whether upstreams of \p Region may get the request: the regions of
@@ -96,6 +105,7 @@
   /// For AllLimited: requests per second that this VM may send.
   double m_LimitedRate = 0;
   double m_Load = 0;         ///< Estimated load of the selected upstream.
+  bool m_IsHeld = false;     ///< The upstream is known to hold the key.
   bool m_IsOverflow = false; ///< Selected outside the regions of the key.
   /// Whether the key is assigned to the own region; also set on refusal.
   bool m_IsLocalKey = false;
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -9,6 +9,7 @@
 #include "steer/crash_suspects.h"
 #include "steer/customer_table.h"
 #include "steer/fleet.h"
+#include "steer/key_placement.h"
 #include "steer/local_share.h"
 #include "steer/rate_limit.h"
 #include "steer/read_delay.h"
--- a/src/steer/upstream.cpp
+++ b/src/steer/upstream.cpp
@@ -105,7 +105,27 @@
   return std::max(Counted, Reported + SentSince);
 }
 
+void Upstream::sampleLoad(TimePoint Now,
+                          const UpstreamHealthTuning &Tuning) noexcept {
+  double Load = load(Now, Tuning);
+  double Elapsed = double((Now - m_LoadSampledAt).count());
+  double Weight =
+      m_LoadSampledAt == TimePoint()
+          ? 1
+          : std::min(1.0, Elapsed / double(Tuning.m_LoadMeanTime.count()));
+  m_MeanLoad += (Load - m_MeanLoad) * Weight;
+  m_LoadSampledAt = Now;
+}
+
+double Upstream::pace(TimePoint Now,
+                      const UpstreamHealthTuning &Tuning) const noexcept {
+  bool IsFresh = m_LastReportAt && Now - *m_LastReportAt <= Tuning.m_PaceMaxAge;
+  return IsFresh ? m_LastReport.m_Pace.value_or(1) : 1;
+}
+
 void Upstream::resetAfterRestart() {
+  m_MeanLoad = 0;
+  m_LoadSampledAt = {};
   m_LastReportAt.reset();
   m_MeanLatency = Duration::zero();
   m_Samples = 0;
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -55,6 +55,9 @@
   unsigned m_Running = 0;
   unsigned m_Waiting = 0;
   unsigned m_Slots = 0;
+  /// Time that work takes on its machine now, relative to the usual one; none
+  /// if it doesn't tell.
+  std::optional<double> m_Pace;
 };
 
 /// \brief Parameters for load estimation and ejection of one upstream.
@@ -70,6 +73,11 @@
   /// An upstream is slow if its mean latency exceeds this multiple of the
   /// median over the service's upstreams.
   double m_SlowFactor = 2.5;
+  /// A reported pace counts for this long; it changes several times a second.
+  Duration m_PaceMaxAge = 250ms;
+  /// Time constant of the moving average of the load, which shows how busy an
+  /// upstream is beyond single requests.
+  Duration m_LoadMeanTime = 1500ms;
   unsigned m_MinSamples = 4; ///< Needed before the mean latency is used.
   /// Consecutive failures that eject an upstream.
   unsigned m_EjectAfterFailures = 2;
@@ -152,6 +160,14 @@
   /// \brief Estimated number of requests that it processes or queues.
   [[nodiscard]] double load(TimePoint Now,
                             const UpstreamHealthTuning &Tuning) const noexcept;
+  /// \brief Updates the moving average of the load.
+  void sampleLoad(TimePoint Now, const UpstreamHealthTuning &Tuning) noexcept;
+  /// \brief Mean load over the last seconds, in requests.
+  [[nodiscard]] double meanLoad() const noexcept { return m_MeanLoad; }
+  /// \brief Time that work takes there now, relative to the usual one; 1 if it
+  /// doesn't tell, or told it too long ago.
+  [[nodiscard]] double pace(TimePoint Now,
+                            const UpstreamHealthTuning &Tuning) const noexcept;
   /// \brief Whether it is still warming up.
   [[nodiscard]] bool isCold(TimePoint Now) const noexcept {
     return Now < m_ColdUntil;
@@ -185,6 +201,8 @@
 private:
   LoadReport m_LastReport;
   std::optional<TimePoint> m_LastReportAt; ///< None before the first report.
+  double m_MeanLoad = 0;                   ///< See sampleLoad().
+  TimePoint m_LoadSampledAt{};             ///< Zero before the first sample.
   unsigned m_InFlightAtReport = 0; ///< This VM's requests at the last report.
   Duration m_MeanLatency{};
   Duration m_RoundTripTime{}; ///< Shortest one seen; zero before the first.
--- a/src/steer/upstream_table.cpp
+++ b/src/steer/upstream_table.cpp
@@ -221,7 +221,10 @@
 }
 
 void UpstreamTable::recordProcessingTime(const ServiceName &Service,
-                                         Duration Elapsed) {
+                                         Duration Elapsed,
+                                         std::optional<bool> IsHeld) {
+  if (IsHeld)
+    m_ProcessingTimes[Service].record(Elapsed, *IsHeld);
   // Averages over about 20 answers of the service.
   constexpr double SampleWeight = 0.05;
   Duration &Mean = m_MeanProcessingTimes[Service];
@@ -231,6 +234,12 @@
                                             SampleWeight));
 }
 
+ProcessingTimes
+UpstreamTable::processingTimes(const ServiceName &Service) const {
+  auto Found = m_ProcessingTimes.find(Service);
+  return Found == m_ProcessingTimes.end() ? ProcessingTimes() : Found->second;
+}
+
 Duration UpstreamTable::meanProcessingTime(const ServiceName &Service) const {
   auto Found = m_MeanProcessingTimes.find(Service);
   return Found == m_MeanProcessingTimes.end() ? Duration::zero()
--- a/src/steer/upstream_table.h
+++ b/src/steer/upstream_table.h
@@ -2,8 +2,8 @@
 /// All upstreams that an entry VM knows, by service.
 #pragma once
 
+#include "steer/key_placement.h"
 #include "steer/route_table.h"
-#include "steer/upstream.h"
 
 #include <deque>
 #include <map>
@@ -132,7 +132,13 @@
   [[nodiscard]] std::size_t size() const noexcept { return m_ById.size(); }
 
   /// \brief Records the processing time of one answer of \p Service.
-  void recordProcessingTime(const ServiceName &Service, Duration Elapsed);
+  /// \param IsHeld Whether the upstream was known to hold the request's key;
+  /// none for a request without a key.
+  void recordProcessingTime(const ServiceName &Service, Duration Elapsed,
+                            std::optional<bool> IsHeld = std::nullopt);
+  /// \brief Mean times of requests whose keys were held, and of others.
+  [[nodiscard]] ProcessingTimes
+  processingTimes(const ServiceName &Service) const;
   /// \brief Mean over the service's upstreams; zero before the first answer.
   [[nodiscard]] Duration meanProcessingTime(const ServiceName &Service) const;
 
@@ -182,6 +188,7 @@
   /// Number of a service's upstreams with m_RemovalInDoubt.
   std::map<ServiceName, std::size_t> m_InDoubt;
   std::map<ServiceName, Duration> m_MeanProcessingTimes;
+  std::map<ServiceName, ProcessingTimes> m_ProcessingTimes;
   std::set<FailureDomainName> m_Evacuated;
   DepartureLog m_Departures;
   /// Runs that announced their end, in an answer or their registration.
