--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -70,6 +70,15 @@
   return std::find(Tried.begin(), Tried.end(), &Target) != Tried.end();
 }
 
+/// \brief Estimated time that a request waits, in multiples of the processing
+/// time.
+double queuedRounds(const Upstream &Target, const ChoiceInput &Input,
+                    const ChoiceTuning &Tuning) {
+  double Load = Target.load(Input.m_Now, Tuning.m_HealthTuning);
+  double Slots = double(Target.m_Registration.m_Slots);
+  return std::max(0.0, Load + 1 - Slots) / Slots;
+}
+
 /// \brief Expected time to an answer: round trip, queueing and processing.
 Duration expectedLatency(const Upstream &Target, const ChoiceInput &Input,
                          const ChoiceTuning &Tuning) {
@@ -81,12 +90,9 @@
   Processing =
       Duration(std::int64_t(double(Processing.count()) *
                             Target.pace(Input.m_Now, Tuning.m_HealthTuning)));
-  double Load = Target.load(Input.m_Now, Tuning.m_HealthTuning);
-  double Slots = double(Target.m_Registration.m_Slots);
-  double QueuedRounds = std::max(0.0, Load + 1 - Slots) / Slots;
   return Target.roundTripTime() +
-         Duration(
-             std::int64_t(double(Processing.count()) * (1 + QueuedRounds)));
+         Duration(std::int64_t(double(Processing.count()) *
+                               (1 + queuedRounds(Target, Input, Tuning))));
 }
 
 /// \brief Mean time that requests wait at an upstream that is as busy as it was
@@ -251,37 +257,35 @@
 /// \brief Puts the better one of the two first candidates for the key at the
 /// front.
 ///
-/// \details While both hold the key, or neither does, the one that is expected
-/// to answer first is better. A key that only one of them holds stays there
-/// until the other's shorter queue makes up for the time that the first request
-/// takes longer: by the mean queues of the last seconds, as a momentary one is
-/// gone before the key is held elsewhere.
+/// \details While both hold the key, the one with the shorter queue is better.
+/// A key that only one of them holds stays there until the other's shorter
+/// queue makes up for the time that the first request takes longer: by the mean
+/// queues of the last seconds, as a momentary one is gone before the key is
+/// held elsewhere. The times of single upstreams aren't compared: one that has
+/// just got keys that it didn't hold looks slow, and moving keys away from it
+/// would have yet more keys processed where they aren't held.
 void orderHolders(std::span<Candidate> Holders, const ChoiceInput &Input,
                   const ChoiceTuning &Tuning) {
   if (Holders.size() < 2 || Holders[0].m_Tier != Holders[1].m_Tier)
     return;
   const Upstream &First = *Holders[0].m_Upstream;
   const Upstream &Second = *Holders[1].m_Upstream;
-  bool FirstHolds =
-      Input.m_Placement->isHeld(Input.m_KeyHash, First, Input.m_Now);
+  const ProcessingTimes &Times = Input.m_ProcessingTimes;
+  double Held = double(Times.m_Held.count());
   bool SecondHolds =
       Input.m_Placement->isHeld(Input.m_KeyHash, Second, Input.m_Now);
+  // Other VMs send the key to the first candidate as well.
+  bool FirstHolds = !SecondHolds || Input.m_Placement->isHeld(
+                                        Input.m_KeyHash, First, Input.m_Now);
   double FirstCost = 0;
   double SecondCost = 0;
-  if (FirstHolds == SecondHolds) {
-    // The preference for the first one keeps VMs with slightly different
-    // reports from using both.
-    constexpr double Margin = 1.2;
-    FirstCost = double(expectedLatency(First, Input, Tuning).count());
-    SecondCost =
-        double(expectedLatency(Second, Input, Tuning).count()) * Margin;
+  if (FirstHolds && SecondHolds) {
+    FirstCost = queuedRounds(First, Input, Tuning);
+    SecondCost = queuedRounds(Second, Input, Tuning) + Tuning.m_QueueMargin;
   } else {
-    double Processing = double(Input.m_ProcessingTimes.m_Held.count());
-    double Penalty = double(Input.m_ProcessingTimes.coldPenalty().count()) /
-                     Tuning.m_MoveHorizon;
-    FirstCost = Processing * expectedWait(First) + (FirstHolds ? 0 : Penalty);
-    SecondCost =
-        Processing * expectedWait(Second) + (SecondHolds ? 0 : Penalty);
+    double Penalty = double(Times.coldPenalty().count()) / Tuning.m_MoveHorizon;
+    FirstCost = Held * expectedWait(First) + (FirstHolds ? 0 : Penalty);
+    SecondCost = Held * expectedWait(Second) + (SecondHolds ? 0 : Penalty);
   }
   if (SecondCost < FirstCost)
     std::swap(Holders[0], Holders[1]);
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -27,6 +27,10 @@
   /// A key moves from one of them to the other if that saves the additional
   /// time of the first request over this many further ones.
   double m_MoveHorizon = 4;
+  /// If both hold a key, the second one is used when its queue is shorter by
+  /// this part of the processing time. Reports are some hundred milliseconds
+  /// old.
+  double m_QueueMargin = 0.3;
   /// Fraction of the time left until the target latency that the estimated
   /// queueing and processing may take. Above 1 because the mean processing
   /// time includes requests for keys that the upstream does not hold, which
