--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -254,40 +254,52 @@
     std::erase_if(Candidates, InLastTier);
 }
 
+/// \brief Probability that an upstream which holds the key answers after the
+/// target latency, as busy as it was over the last seconds.
+double lateRisk(const Upstream &Target, const ChoiceInput &Input) {
+  double Held = double(Input.m_ProcessingTimes.m_Held.count());
+  double Slack =
+      double((Input.m_TimeToTarget - Target.roundTripTime()).count()) - Held;
+  double MeanWait = Held * expectedWait(Target);
+  if (Slack <= 0)
+    return 1;
+  // The wait in a queue decays exponentially.
+  return MeanWait <= 0 ? 0 : std::exp(-Slack / MeanWait);
+}
+
 /// \brief Puts the better one of the two first candidates for the key at the
 /// front.
 ///
 /// \details While both hold the key, the one with the shorter queue is better.
-/// A key that only one of them holds stays there until the other's shorter
-/// queue makes up for the time that the first request takes longer: by the mean
-/// queues of the last seconds, as a momentary one is gone before the key is
-/// held elsewhere. The times of single upstreams aren't compared: one that has
-/// just got keys that it didn't hold looks slow, and moving keys away from it
-/// would have yet more keys processed where they aren't held.
+/// A key that only one of them holds stays there unless enough of its further
+/// requests are answered in time by the other: the first request there is
+/// likely to be late. Both are judged by their mean queues over the last
+/// seconds, as a momentary one is gone before the key is held elsewhere. The
+/// times of single upstreams aren't compared: one that has just got keys that
+/// it didn't hold looks slow, and moving keys away from it would have yet more
+/// keys processed where they aren't held.
 void orderHolders(std::span<Candidate> Holders, const ChoiceInput &Input,
                   const ChoiceTuning &Tuning) {
   if (Holders.size() < 2 || Holders[0].m_Tier != Holders[1].m_Tier)
     return;
   const Upstream &First = *Holders[0].m_Upstream;
   const Upstream &Second = *Holders[1].m_Upstream;
-  const ProcessingTimes &Times = Input.m_ProcessingTimes;
-  double Held = double(Times.m_Held.count());
-  bool SecondHolds =
-      Input.m_Placement->isHeld(Input.m_KeyHash, Second, Input.m_Now);
+  auto Holds = [&Input](const Upstream &Target) {
+    return Input.m_Placement->isHeld(Input.m_KeyHash, Target, Input.m_Now);
+  };
+  bool SecondHolds = Holds(Second);
   // Other VMs send the key to the first candidate as well.
-  bool FirstHolds = !SecondHolds || Input.m_Placement->isHeld(
-                                        Input.m_KeyHash, First, Input.m_Now);
-  double FirstCost = 0;
-  double SecondCost = 0;
-  if (FirstHolds && SecondHolds) {
-    FirstCost = queuedRounds(First, Input, Tuning);
-    SecondCost = queuedRounds(Second, Input, Tuning) + Tuning.m_QueueMargin;
-  } else {
-    double Penalty = double(Times.coldPenalty().count()) / Tuning.m_MoveHorizon;
-    FirstCost = Held * expectedWait(First) + (FirstHolds ? 0 : Penalty);
-    SecondCost = Held * expectedWait(Second) + (SecondHolds ? 0 : Penalty);
-  }
-  if (SecondCost < FirstCost)
+  bool FirstHolds = !SecondHolds || Holds(First);
+  bool SecondIsBetter = false;
+  if (FirstHolds && SecondHolds)
+    SecondIsBetter =
+        queuedRounds(Second, Input, Tuning) + Tuning.m_QueueMargin <
+        queuedRounds(First, Input, Tuning);
+  else
+    SecondIsBetter =
+        lateRisk(Second, Input) + (SecondHolds ? 0 : Tuning.m_MoveRisk) <
+        lateRisk(First, Input) + (FirstHolds ? 0 : Tuning.m_MoveRisk);
+  if (SecondIsBetter)
     std::swap(Holders[0], Holders[1]);
 }
 
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -24,9 +24,10 @@
   /// Upstreams among which the holder of a key is selected if placements are
   /// known.
   unsigned m_PlacementsPerKey = 2;
-  /// A key moves from one of them to the other if that saves the additional
-  /// time of the first request over this many further ones.
-  double m_MoveHorizon = 4;
+  /// A key moves from one of them to the other if this fraction of its further
+  /// requests would else be late: each move makes one request late, and one of
+  /// another key that is evicted.
+  double m_MoveRisk = 0.13;
   /// If both hold a key, the second one is used when its queue is shorter by
   /// this part of the processing time. Reports are some hundred milliseconds
   /// old.
