--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -267,6 +267,14 @@
   return MeanWait <= 0 ? 0 : std::exp(-Slack / MeanWait);
 }
 
+/// \brief Whether a key that \p From holds is to be held by \p To from now on.
+bool movesKey(const Upstream &From, const Upstream &To,
+              const ChoiceInput &Input, const ChoiceTuning &Tuning) {
+  double Risk = lateRisk(To, Input);
+  return Risk <= Tuning.m_MaxMoveTargetRisk &&
+         Risk + Tuning.m_MoveRisk < lateRisk(From, Input);
+}
+
 /// \brief Puts the better one of the two first candidates for the key at the
 /// front.
 ///
@@ -295,10 +303,10 @@
     SecondIsBetter =
         queuedRounds(Second, Input, Tuning) + Tuning.m_QueueMargin <
         queuedRounds(First, Input, Tuning);
+  else if (SecondHolds)
+    SecondIsBetter = !movesKey(Second, First, Input, Tuning);
   else
-    SecondIsBetter =
-        lateRisk(Second, Input) + (SecondHolds ? 0 : Tuning.m_MoveRisk) <
-        lateRisk(First, Input) + (FirstHolds ? 0 : Tuning.m_MoveRisk);
+    SecondIsBetter = movesKey(First, Second, Input, Tuning);
   if (SecondIsBetter)
     std::swap(Holders[0], Holders[1]);
 }
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -28,6 +28,9 @@
   /// requests would else be late: each move makes one request late, and one of
   /// another key that is evicted.
   double m_MoveRisk = 0.13;
+  /// No key moves to an upstream with a larger risk of late answers: while all
+  /// are short of room, moves only have keys evicted.
+  double m_MaxMoveTargetRisk = 0.1;
   /// If both hold a key, the second one is used when its queue is shorter by
   /// this part of the processing time. Reports are some hundred milliseconds
   /// old.
