Admission under shortage: the least urgent requests are refused first

Cause: without it, a service that lacks capacity refuses requests of all priorities alike.

Change: for each service, the VMs of a region agree on a fraction of the requests, refused from the least urgent priority up, by averaging what they send each other in heartbeats. The fraction has its own entry in a heartbeat, as the local share isn't sent to the own region until it is adjusted. Metrics, the line admission-changed, and the priority in the line of a request.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -40,6 +40,9 @@
 constexpr std::string_view NoRegion = "no-region";
 /// Retry-After of the latter: only a new configuration helps.
 constexpr Duration NoRegionRetryAfter = 5s;
+/// Reason of refusals of the least urgent requests while their service is short
+/// of capacity.
+constexpr std::string_view Shortage = "shortage";
 /// Reason of refusals of requests that the end of a shutdown may cut off.
 constexpr std::string_view Leaving = "leaving";
 /// Reason of refusals of requests that end their upstreams.
@@ -177,6 +180,12 @@
   if (!IsConnected)
     co_return false;
   m_TargetService = m_State.m_TrafficSplit.next(*m_Route);
+  if (!isAdmitted())
+    co_return co_await refuse(ErrorKind::NoCapacity,
+                              m_State.m_Admission.of(m_TargetService)
+                                  .retryAfter(priority(), admissionHash(),
+                                              m_State.m_Settings.m_Admission),
+                              Shortage);
   m_State.m_RetryBudgets[m_TargetService].recordRequest(steadyNow());
   const GatewaySettings &Settings = m_State.m_Settings;
   m_State.m_LocalShares.deriveMissing(m_TargetService, m_State.m_Upstreams,
@@ -194,6 +203,28 @@
   return m_Customer || m_Route->m_IsPublic;
 }
 
+Priority Exchange::priority() const noexcept {
+  return m_Customer ? m_Customer->m_Priority.value_or(m_Route->m_Priority)
+                    : m_Route->m_Priority;
+}
+
+std::uint64_t Exchange::admissionHash() const {
+  // Requests without an identifier must not all be decided alike.
+  return m_Metadata.m_RequestId.empty()
+             ? stableHash("",
+                          std::uint64_t(m_ArrivedAt.time_since_epoch().count()))
+             : requestHash();
+}
+
+bool Exchange::isAdmitted() {
+  AdmissionControl &Control = m_State.m_Admission.of(m_TargetService);
+  Control.recordOffered(priority(), steadyNow());
+  if (Control.admits(priority(), admissionHash()))
+    return true;
+  Control.recordRefused(priority());
+  return false;
+}
+
 bool Exchange::isKeyRevoked() const {
   const RouteTablePtr &Newest = m_State.m_Routes;
   if (!m_Customer || m_Route->m_IsPublic || Newest == m_Routes)
@@ -301,6 +332,11 @@
     m_State.m_LocalShares.recordChoice(m_TargetService, Selected);
     if (!Selected.m_Upstream) {
       m_Choice.m_IsLocalKey = Selected.m_IsLocalKey;
+      // After a failed attempt, the others may be full only because the holder
+      // of the key is left out.
+      if (Selected.m_RefusalReason == RefusalReason::AllFull &&
+          m_Tried.empty() && !IsTrial)
+        m_FoundNoRoom = true;
       if (Selected.m_RefusalReason == RefusalReason::AllLimited)
         Selected.m_RetryAfter =
             m_State.m_LimitedReturns[m_TargetService].reserve(
@@ -329,6 +365,8 @@
         co_return co_await giveUp(Last, 200ms, "unreachable");
       continue;
     case AttemptResult::NotRun:
+      m_FoundNoRoom = m_FoundNoRoom || m_Outcome.m_ShowsAllSlotsInUse;
+      [[fallthrough]];
     case AttemptResult::Failed:
     case AttemptResult::Lost:
       if (cancelled() || IsTrial || !mayRetry(Last))
@@ -361,6 +399,9 @@
   }
   if (requestBroke())
     co_return co_await refuseUnreadable();
+  // A request that another upstream has run or may have run found room.
+  if (m_FoundNoRoom && !m_MayHaveRun)
+    m_State.m_Admission.of(m_TargetService).recordNoRoom();
   // The upstream's error response is more informative than one of our own.
   if (m_BufferedResponse && !m_TimedOut)
     co_return co_await deliver(std::move(*m_BufferedResponse));
@@ -441,6 +482,7 @@
        {"routes", std::to_string(m_Routes ? m_Routes->m_Version : 0)},
        {"service", m_TargetService.str()},
        {"customer", m_Customer ? m_Customer->m_Name.str() : ""},
+       {"priority", m_Route && !servesPeer() ? std::to_string(priority()) : ""},
        {"key", m_Metadata.m_AffinityKey},
        {"request",
         Reason == CrashesUpstreams ? formatFingerprint(*fingerprint()) : ""},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -35,7 +35,9 @@
   unsigned m_Status = 0;
   std::size_t m_BodyBytes = 0;
   bool m_IsSigned = false; ///< The response is an upstream's.
-  VmName m_Peer;           ///< That carried the attempt; empty: the own link.
+  /// The upstream reported that it had no free slot.
+  bool m_ShowsAllSlotsInUse = false;
+  VmName m_Peer; ///< That carried the attempt; empty: the own link.
   /// The result is what the peer states, not the end of its connection.
   bool m_IsStated = false;
   /// The own link was left, as the links were lost meanwhile.
@@ -87,6 +89,13 @@
   awaitable<bool> route();
   /// \brief Whether the caller may use m_Route; sets m_Customer.
   [[nodiscard]] bool identifyCustomer();
+  /// \brief The customer's, else the route's.
+  [[nodiscard]] Priority priority() const noexcept;
+  /// \brief Decides on requests of which a part is refused.
+  [[nodiscard]] std::uint64_t admissionHash() const;
+  /// \brief Whether m_TargetService has capacity for requests of this priority;
+  /// counts the request.
+  [[nodiscard]] bool isAdmitted();
   /// \brief Whether the newest configuration still knows the caller's key. A
   /// request may have waited since it was accepted.
   [[nodiscard]] bool isKeyRevoked() const;
@@ -269,6 +278,9 @@
   /// Upstreams that may have started the request or that refused it.
   std::vector<UpstreamPtr> m_Tried;
   unsigned m_SentAttempts = 0; ///< Attempts of which bytes may have been sent.
+  /// The first choice found all upstreams full, or one without a free slot
+  /// rejected the request.
+  bool m_FoundNoRoom = false;
   /// An attempt ended without proof that the request did not run.
   bool m_MayHaveRun = false;
   Choice m_Choice;                    ///< Of the last attempt.
--- a/src/gateway/exchange_outcome.cpp
+++ b/src/gateway/exchange_outcome.cpp
@@ -27,8 +27,14 @@
 void Exchange::applyMetadata(Upstream &Target,
                              const ResponseMetadata &Metadata) {
   TimePoint Now = steadyNow();
-  if (Metadata.m_Load)
+  if (Metadata.m_Load) {
     Target.recordLoadReport(*Metadata.m_Load, Now);
+    // An upstream that is leaving, and another one at its address, reject
+    // requests for other reasons.
+    m_Outcome.m_ShowsAllSlotsInUse = Metadata.m_Load->hasNoFreeSlot() &&
+                                     !Metadata.m_Leaving &&
+                                     !Metadata.m_AddressReused;
+  }
   if (Metadata.m_WarmUpRemaining &&
       *Metadata.m_WarmUpRemaining > Duration::zero())
     Target.m_ColdUntil =
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -168,6 +168,7 @@
       200, "text/plain",
       m_State.m_Metrics.exposition() + m_Replica.exposition() +
           shareExposition(m_State.m_LocalShares) +
+          admissionExposition(m_State.m_Admission) +
           limitExposition(m_State.m_Upstreams, steadyNow()) +
           crashExposition(m_State.m_CrashSuspects) +
           bufferExposition(m_State.m_Buffers) +
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -120,6 +120,16 @@
       Result.m_ServiceShares.push_back(
           {stableHash(Service.str()), State.m_Share, State.m_Utilization});
   });
+  if (Region == m_State.m_Settings.m_Placement.m_Region)
+    m_State.m_Admission.forEach(
+        [&](const ServiceName &Service, const AdmissionControl &Control) {
+          if (auto Fraction = Control.fractionToSend()) {
+            ServiceShare Entry;
+            Entry.m_ServiceHash = AdmissionControls::messageKey(Service);
+            Entry.m_RefusedFraction = *Fraction;
+            Result.m_ServiceShares.push_back(Entry);
+          }
+        });
   return Result;
 }
 
@@ -212,7 +222,11 @@
       m_State.m_LocalShares.update(
           m_State.m_Upstreams, m_State.m_Settings.m_Placement, Now,
           m_State.m_Settings.m_LocalShare, !m_State.m_Fleet.isSmall());
+    m_State.m_Admission.update(m_State.m_LocalShares,
+                               !m_State.m_Fleet.m_Self.m_DoubtsLinks, Now,
+                               m_State.m_Settings.m_Admission);
     m_ShareLog.logChanges(m_State.m_LocalShares);
+    m_AdmissionLog.logChanges(m_State.m_Admission, Now);
   }
 }
 
@@ -286,12 +300,15 @@
     for (const PeerAge &Age : Heartbeat.m_ReaderAges)
       m_State.m_Fleet.receivedReaderAge(Age, Now);
   for (const ServiceShare &Share : Heartbeat.m_ServiceShares)
-    if (IsLocal)
+    if (IsLocal) {
       m_State.m_LocalShares.receivedLocalShare(Share.m_ServiceHash,
                                                Share.m_LocalShare);
-    else
+      m_State.m_Admission.receivedPeerFraction(Share.m_ServiceHash,
+                                               Share.m_RefusedFraction);
+    } else {
       m_State.m_LocalShares.receivedRemoteUtilization(Share.m_ServiceHash,
                                                       Share.m_Utilization);
+    }
   // A VM that is named here answers with a heartbeat of its own.
   for (const std::string &Address : Heartbeat.m_KnownPeerAddresses)
     if (Address != m_State.m_Settings.m_PeerAddress)
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway/address_binder.h"
+#include "gateway/admission_report.h"
 #include "gateway/share_report.h"
 #include "gateway/store_replica.h"
 
@@ -74,6 +75,7 @@
   TimePoint m_LastFetchAt{};
   RowLag m_RowLag;
   ShareLog m_ShareLog;
+  AdmissionLog m_AdmissionLog;
 };
 
 } // namespace mustardspoke::steer
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -49,6 +49,7 @@
   RetryBudgetTuning m_Retry;
   ChoiceTuning m_Choice;
   LocalShareTuning m_LocalShare;
+  AdmissionTuning m_Admission;
   FleetTuning m_Fleet;
 };
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -71,6 +71,7 @@
   OwnLinks m_OwnLinks;
   Fleet m_Fleet;
   LocalShares m_LocalShares;
+  AdmissionControls m_Admission;
   TrafficSplitter m_TrafficSplit;
   std::map<ServiceName, RetryBudget> m_RetryBudgets;
   /// For callers refused because all upstreams of the service are limited.
--- a/src/inner/heartbeat_codec.h
+++ b/src/inner/heartbeat_codec.h
@@ -20,7 +20,8 @@
   double m_LocalShare = 1;  ///< Fraction of the keys served in the region.
   double m_Utilization = 0; ///< Fraction of the region's slots in use.
   /// Fraction of the service's requests that the sender refuses for lack of
-  /// room, the least urgent first.
+  /// room, the least urgent first. In entries of their own, whose m_ServiceHash
+  /// is AdmissionControls::messageKey(), for VMs of the own region.
   double m_RefusedFraction = 0;
 };
 
--- a/src/steer/local_share.cpp
+++ b/src/steer/local_share.cpp
@@ -16,11 +16,17 @@
   double m_LocalLoad = 0;
   double m_TotalLoad = 0;
   unsigned m_InFlight = 0; ///< Of this VM.
+  /// Of the region's upstreams that may take further requests now.
+  unsigned m_ServingSlots = 0;
+  double m_SlotsInUse = 0;
   std::set<RegionName> m_Regions;
 
   [[nodiscard]] double localUtilization() const {
     return m_LocalSlots == 0 ? 1 : m_LocalLoad / double(m_LocalSlots);
   }
+  [[nodiscard]] double slotsInUse() const {
+    return m_ServingSlots == 0 ? 1 : m_SlotsInUse / m_ServingSlots;
+  }
   [[nodiscard]] double remoteUtilization() const {
     unsigned Slots = m_TotalSlots - m_LocalSlots;
     return Slots == 0 ? 1 : (m_TotalLoad - m_LocalLoad) / double(Slots);
@@ -41,6 +47,10 @@
   Sum.m_LocalSlots += Entry.m_Registration.m_Slots;
   Sum.m_HealthyLocalUpstreams += Entry.isFailing(Now) ? 0 : 1;
   Sum.m_LocalLoad += Load;
+  if (Entry.isEjected(Now) || Entry.isCold(Now) || Entry.isQuiet(Now))
+    return;
+  Sum.m_ServingSlots += Entry.m_Registration.m_Slots;
+  Sum.m_SlotsInUse += std::min(Load, double(Entry.m_Registration.m_Slots));
 }
 
 std::map<ServiceName, ServiceLoad> loadByService(const UpstreamTable &Table,
@@ -186,6 +196,7 @@
     Current.m_HealthyUpstreams = Load.m_HealthyLocalUpstreams;
     recordSlots(Current, Load.m_LocalSlots, Load.m_TotalSlots, Now);
     Current.m_Utilization = Load.localUtilization();
+    Current.m_SlotsInUse = Load.slotsInUse();
     if (Load.m_InFlight > 0)
       Current.m_CarriedAt = Now;
     LocalShareState Inputs = Current;
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -54,7 +54,10 @@
 /// \brief A service's share and the inputs of its last step.
 struct LocalShareState {
   double m_Share = 1;
-  double m_Utilization = 0; ///< Of the region's slots.
+  double m_Utilization = 0; ///< Of the region's slots; above 1 with queues.
+  /// Fraction of the slots in use, 0 to 1, at the region's upstreams that are
+  /// neither ejected nor warming up nor asking for a pause.
+  double m_SlotsInUse = 0;
   /// Moving average over reports of other regions; none before the first.
   std::optional<double> m_RemoteUtilization;
   unsigned m_LocalSlots = 0;
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -4,6 +4,7 @@
 /// clocks.
 #pragma once
 
+#include "steer/admission.h"
 #include "steer/buffer_budget.h"
 #include "steer/choice.h"
 #include "steer/crash_suspects.h"
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -55,6 +55,10 @@
   unsigned m_Running = 0;
   unsigned m_Waiting = 0;
   unsigned m_Slots = 0;
+
+  [[nodiscard]] bool hasNoFreeSlot() const noexcept {
+    return m_Slots > 0 && m_Running >= m_Slots;
+  }
 };
 
 /// \brief Parameters for load estimation and ejection of one upstream.
--- a/tests/unit/peer_rows_test.cpp
+++ b/tests/unit/peer_rows_test.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// Rows that a VM fetches from its peers, over real sockets on loopback.
+/// Rows that a VM fetches from its peers, and the refused fractions that it
+/// exchanges with them, over real sockets on loopback.
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
@@ -50,6 +51,8 @@
       : m_Io(Io), m_Address(Ip + ":18182"),
         m_Acceptor(Io, parseEndpoint<Tcp>(m_Address).value()), m_Beats(Io) {
     m_Beats.open(Udp::v4());
+    m_Beats.bind(parseEndpoint<Udp>(m_Address).value());
+    m_Beats.non_blocking(true);
     test::acceptEach(Io, m_Acceptor, [this, Answers](Tcp::socket Asked) {
       auto Socket = std::make_shared<Tcp::socket>(std::move(Asked));
       test::spawn(m_Io,
@@ -57,8 +60,9 @@
     });
   }
 
-  void sendHeartbeat() {
+  void sendHeartbeat(std::vector<ServiceShare> Shares = {}) {
     Heartbeat Beat;
+    Beat.m_ServiceShares = std::move(Shares);
     Beat.m_Sender.m_Vm = VmName(m_Address);
     Beat.m_Sender.m_Incarnation = 1;
     Beat.m_Sender.m_PeerAddress = m_Address;
@@ -71,6 +75,17 @@
                     0, Ignored);
   }
 
+  /// \brief The next heartbeat that has arrived, if any.
+  std::optional<Heartbeat> receive() {
+    std::string Bytes(65536, '\0');
+    NetError Error;
+    Udp::endpoint Sender;
+    std::size_t Size =
+        m_Beats.receive_from(asio::buffer(Bytes), Sender, 0, Error);
+    return Error ? std::nullopt
+                 : decodeHeartbeat(std::string_view(Bytes).substr(0, Size));
+  }
+
 private:
   awaitable<void> serve(std::shared_ptr<Tcp::socket> Socket, bool Answers) {
     char Buffer[4096];
@@ -121,4 +136,43 @@
   BOOST_TEST((steadyNow() - Begin < 1200ms));
 }
 
+// Guards against VMs of a region that refuse different requests: a share that
+// isn't adjusted isn't sent to the own region, but the refused fraction is.
+BOOST_AUTO_TEST_CASE(RefusedFractionsReachTheRegionWithoutAdjustedShares) {
+  const ServiceName Stock{"stock"};
+  asio::io_context Io;
+  WireFormat Format{};
+  DeadStore Store;
+  GatewayState State(Io, settings(), Format,
+                     {decodeOperator, decodeUpstream, {"op", "up", "vm"}});
+  UpstreamPool Pool(Io);
+  StoreReplica Replica(State, Pool, Store);
+  PeerService Service(State, Replica);
+  BOOST_REQUIRE(!Service.start(AddressBinder(0s)));
+  AdmissionControl &Control = State.m_Admission.of(Stock);
+  auto Step = [&Control](TimePoint Now) {
+    for (int I = 0; I < 20; ++I)
+      Control.recordOffered(Priority(I % 2), Now);
+    Control.update(1, Now, AdmissionTuning());
+  };
+  Control.receivedPeerFraction(0.4);
+  Step(steadyNow());
+  Peer Other(Io, "127.0.9.4", true);
+  ServiceShare Told;
+  Told.m_ServiceHash = AdmissionControls::messageKey(Stock);
+  Told.m_RefusedFraction = 0.2;
+  Other.sendHeartbeat({Told});
+  std::optional<Heartbeat> Heard;
+  for (TimePoint Begin = steadyNow(); !Heard && steadyNow() - Begin < 3s;
+       Heard = Other.receive())
+    Io.run_for(std::chrono::milliseconds(20));
+  BOOST_REQUIRE(Heard.has_value());
+  BOOST_REQUIRE(Heard->m_ServiceShares.size() == 1U);
+  const ServiceShare &Entry = Heard->m_ServiceShares.front();
+  BOOST_TEST(Entry.m_ServiceHash == Told.m_ServiceHash);
+  BOOST_TEST(std::abs(Entry.m_RefusedFraction - 0.4) < 0.01);
+  Step(steadyNow() + 1s);
+  BOOST_TEST(Control.fractionToSend().value() < 0.35);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
