--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -72,6 +72,7 @@
   Fleet m_Fleet;
   LocalShares m_LocalShares;
   KeyPlacement m_KeyPlacement;
+  AdmissionControls m_Admission;
   TrafficSplitter m_TrafficSplit;
   std::map<ServiceName, RetryBudget> m_RetryBudgets;
   /// For callers refused because all upstreams of the service are limited.
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -58,6 +58,10 @@
   /// Time that work takes on its machine now, relative to the usual one; none
   /// if it doesn't tell.
   std::optional<double> m_Pace;
+
+  [[nodiscard]] bool hasNoFreeSlot() const noexcept {
+    return m_Slots > 0 && m_Running >= m_Slots;
+  }
 };
 
 /// \brief Parameters for load estimation and ejection of one upstream.
