--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -21,7 +21,7 @@
   /// overshoot the shortage, as requests that were admitted before a step are
   /// still queued for some steps, and would have many requests refused for a
   /// few more urgent ones.
-  double m_IncreaseGain = 0.25;
+  double m_IncreaseGain = 0.6;
   double m_Decrease = 0.01; ///< Per step.
   /// Largest decrease per step: each step of an uninterrupted decrease is
   /// larger by m_Decrease than the one before. At a constant 0.01, callers
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -726,6 +726,8 @@
                               Id + "\r\nX-Server-Load: " + Load +
                               "\r\nContent-Length: 0\r\n\r\n");
     });
+    // Without less urgent requests, nothing would make room for this one.
+    Rig.m_State.m_Admission.of(ServiceName("s")).recordOffered(1, steadyNow());
     BOOST_TEST(Rig.ask(safeRequest("1")).m_Head.m_Status == 503U);
     BOOST_TEST(
         (Rig.m_State.m_Admission.of(ServiceName("s")).noRoomProportion() > 0) ==
