Answers with invalid statuses don't count as answers

The parser refuses responses with a status outside 100 to 599, and 101, which no request asks for. The attempt is lost (cause "invalid-status") and its connection isn't used again: a repeatable request is tried elsewhere, another one gets 502. A peer that carries the attempt reports "lost". The store's client and the blocking client treat such an answer as none, so that a write counts as unknown and not as refused; the store's client also skips interim responses, which it took for the answer. `mustardspoke entry` and `call` do the same, and load reports count with status 200 only.

Not tested: the checks in `mustardspoke entry` and `call`.

--- a/src/cli/caller.cpp
+++ b/src/cli/caller.cpp
@@ -37,6 +37,9 @@
     Sent.body = nullptr;
     auto Response = Sent.response.wait(m_Wait);
     CallerResult Result;
+    // What another status says of the call is unknown.
+    KJ_REQUIRE(Response.statusCode >= 200 && Response.statusCode <= 599,
+               "answer with invalid status");
     Result.m_Status = Response.statusCode;
     KJ_IF_MAYBE (Outcome, Response.headers->get(m_Table.m_Ids.m_Outcome))
       Result.m_Outcome = Outcome->cStr();
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -11,6 +11,13 @@
 
 constexpr std::size_t MaxStoredAnswerBytes = 64 * 1024;
 constexpr unsigned MinServerErrorStatus = 500; ///< HTTP status.
+/// Statuses of answers. What another one says of its call is unknown.
+constexpr unsigned MinAnswerStatus = 200;
+constexpr unsigned MaxAnswerStatus = 599;
+
+bool isAnswerStatus(unsigned Status) {
+  return Status >= MinAnswerStatus && Status <= MaxAnswerStatus;
+}
 /// Extra time after the call's deadline in which the ticket's owner may still
 /// deliver its own final answer, such as a timeout.
 constexpr Duration RelayGrace = 200ms;
@@ -181,6 +188,8 @@
                                        kj::HttpClient::Response Response,
                                        Duration Latency, TimePoint Deadline) {
   constexpr kj::uint ServiceUnavailable = 503;
+  if (!isAnswerStatus(Response.statusCode))
+    return finishAndProceed(AttemptResult::Lost);
   const HeaderIds &Ids = m_Worker.m_Headers.m_Ids;
   bool IsDraining = Response.headers->get(Ids.m_Draining) != nullptr;
   bool WasShed = Response.statusCode == ServiceUnavailable &&
@@ -253,6 +262,7 @@
             return ResponsePromise.then(
                 [this, Conn = kj::mv(Conn)](
                     kj::HttpClient::Response &&Response) mutable {
+                  KJ_REQUIRE(isAnswerStatus(Response.statusCode));
                   m_Answer.m_Kind = CallerAnswer::Kind::Streamed;
                   m_Answer.m_Relayed = true;
                   m_Answer.m_Status = Response.statusCode;
--- a/src/entry/load_poller.cpp
+++ b/src/entry/load_poller.cpp
@@ -2,6 +2,8 @@
 /// Requests load reports, each over its own connection.
 #include "entry/load_poller.h"
 
+#include <kj/debug.h>
+
 namespace mustardspoke {
 
 kj::Promise<void> LoadPoller::poll() {
@@ -27,6 +29,8 @@
                                         RequestHeaders, std::uint64_t(0));
             return Sent.response
                 .then([](kj::HttpClient::Response &&Response) {
+                  constexpr kj::uint StatusOk = 200;
+                  KJ_REQUIRE(Response.statusCode == StatusOk);
                   auto Reading = Response.body->readAllText(MaxReportBytes);
                   return Reading.attach(kj::mv(Response.body));
                 })
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -110,8 +110,10 @@
     bool HasHead =
         co_await readUntil(Parser, [&Parser] { return Parser.headDone(); });
     if (!HasHead)
-      co_return lostAttempt("no-answer");
-    if (Parser.head().m_Status / 100 == 1)
+      co_return lostAttempt(Parser.parseError() == HttpParseError::InvalidStatus
+                                ? "invalid-status"
+                                : "no-answer");
+    if (isInterimStatus(Parser.head().m_Status))
       continue;
     if (m_Connection->isToPeer()) {
       RelayOutcome Relayed = readRelayOutcome(Parser.head());
--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -12,6 +12,8 @@
 /// In bytes; a page of 500 large rows fits.
 constexpr std::uint64_t MaxResponseBody = 16 << 20;
 constexpr std::size_t ReadBufferSize = 16384; // bytes
+/// Interim responses that may come before the answer.
+constexpr unsigned MaxInterimResponses = 16;
 
 } // namespace
 
@@ -73,13 +75,23 @@
   HttpParser Parser(HttpParser::Role::Responses, MaxResponseHead,
                     MaxResponseBody);
   std::string Input;
+  unsigned InterimResponses = 0;
+  // The answer may arrive together with interim responses.
+  auto Feed = [&Parser, &Input, &InterimResponses] {
+    Input.erase(0, Parser.feed(Input));
+    while (Parser.done() && isInterimStatus(Parser.head().m_Status) &&
+           ++InterimResponses <= MaxInterimResponses) {
+      Parser.nextMessage();
+      Input.erase(0, Parser.feed(Input));
+    }
+  };
   char Buffer[ReadBufferSize];
   while (!Response.m_Error && !Parser.done() &&
          Parser.parseError() == HttpParseError::None) {
     std::size_t BytesRead = co_await m_Socket.async_read_some(
         asio::buffer(Buffer), noThrow(Response.m_Error));
     Input.append(Buffer, BytesRead);
-    Input.erase(0, Parser.feed(Input));
+    Feed();
     if (Response.m_Error == asio::error::eof && Parser.headDone()) {
       Parser.endStream();
       Response.m_Error = {};
@@ -90,7 +102,8 @@
   m_Timer.disarm();
   if (TimedOut)
     Response.m_Error = asio::error::make_error_code(asio::error::timed_out);
-  if (!Response.m_Error && !Parser.done())
+  bool HasAnswer = Parser.done() && !isInterimStatus(Parser.head().m_Status);
+  if (!Response.m_Error && !HasAnswer)
     Response.m_Error = asio::error::make_error_code(asio::error::fault);
   if (!Response.m_Error)
     setAbortOnClose(m_Socket, false);
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -45,7 +45,12 @@
   }
 }
 
+/// What follows it isn't HTTP any more.
+constexpr unsigned StatusSwitchingProtocols = 101;
+
 HttpParseError parseErrorOf(const beast::error_code &Error) {
+  if (Error == http::error::bad_status)
+    return HttpParseError::InvalidStatus;
   if (Error == http::error::header_limit)
     return HttpParseError::HeadTooLarge;
   if (Error == http::error::body_limit)
@@ -148,8 +153,12 @@
     m_Head.m_MinorVersion = unsigned(Version % 10);
   }
   void on_response_impl(int Status, beast::string_view Reason, int Version,
-                        beast::error_code &) override {
+                        beast::error_code &Error) override {
     m_Head.m_Status = unsigned(Status);
+    // No request asks for another protocol.
+    if (!isValidStatus(m_Head.m_Status) ||
+        m_Head.m_Status == StatusSwitchingProtocols)
+      Error = http::error::bad_status;
     m_Head.m_Reason = view(Reason);
     m_Head.m_MinorVersion = unsigned(Version % 10);
   }
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -60,10 +60,22 @@
 /// \brief The Host field without its port, in lower case.
 [[nodiscard]] std::string hostWithoutPort(const HttpHead &Head);
 
+/// \brief Whether \p Status is one of HTTP. What an answer with another one
+/// says, and whether its request has run, is unknown.
+[[nodiscard]] constexpr bool isValidStatus(unsigned Status) noexcept {
+  return Status >= 100 && Status <= 599;
+}
+/// \brief Whether \p Status belongs to an interim response, which the answer
+/// follows.
+[[nodiscard]] constexpr bool isInterimStatus(unsigned Status) noexcept {
+  return Status >= 100 && Status <= 199;
+}
+
 /// \brief Why a message can't be parsed.
 enum class HttpParseError : std::uint8_t {
   None,
   Malformed,
+  InvalidStatus, ///< See isValidStatus(); or a 101 that nobody asked for.
   HeadTooLarge,
   BodyTooLarge,
   Truncated, ///< The connection ended inside the message.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -7,6 +7,14 @@
 #include <cxxtools/http/request.h>
 
 namespace mustardspoke {
+namespace {
+
+/// Of answers; what another one says of its request is unknown. An interim
+/// status (1xx) belongs to no answer.
+constexpr unsigned MinStatus = 200;
+constexpr unsigned MaxStatus = 599;
+
+} // namespace
 
 bool splitAddress(const std::string &Address, std::string &Ip,
                   unsigned short &Port) {
@@ -49,7 +57,12 @@
       Message.addHeader("Authorization", Request.m_Authorization.c_str());
     Message.body() << Request.m_Body;
     const auto &Header = Client.execute(Message, Timeout, Timeout);
-    Result.m_Response.m_Status = Header.httpReturnCode();
+    unsigned Status = Header.httpReturnCode();
+    if (Status < MinStatus || Status > MaxStatus) {
+      Result.m_Error = "answer with invalid status " + std::to_string(Status);
+      return Result;
+    }
+    Result.m_Response.m_Status = Status;
     Client.readBody();
     Result.m_Response.m_Body = Client.body();
     Result.m_Progress = HttpProgress::Answered;
