--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -43,7 +43,8 @@
   for (const auto &[Name, Safety] :
        {std::pair("safe", RetrySafety::Safe),
         std::pair("unsafe", RetrySafety::Unsafe),
-        std::pair("download", RetrySafety::Download)}) {
+        std::pair("download", RetrySafety::Download),
+        std::pair("upload", RetrySafety::Upload)}) {
     Route NewRoute;
     NewRoute.m_Name = Name;
     NewRoute.m_Prefix = "/" + std::string(Name) + "/";
@@ -69,13 +70,14 @@
   });
 }
 
-void ExchangeRig::upstream(const std::string &Id, const Script &Behaviour) {
+void ExchangeRig::upstream(const std::string &Id, const Script &Behaviour,
+                           const std::string &Service) {
   m_Upstreams.push_back({Id, Tcp::acceptor(m_Io, loopback()), {}});
   RunningUpstream &Running = m_Upstreams.back();
   Tcp::acceptor &Acceptor = Running.m_Acceptor;
   UpstreamRegistration Facts;
   Facts.m_Id = Id;
-  Facts.m_Service = ServiceName("s");
+  Facts.m_Service = ServiceName(Service);
   Facts.m_Slots = 8;
   Facts.m_Address =
       "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
--- a/tests/support/exchange_rig.h
+++ b/tests/support/exchange_rig.h
@@ -26,15 +26,16 @@
 [[nodiscard]] std::string unsafeRequest(const std::string &Id,
                                         const std::string &ExtraFields = "");
 
-/// \brief A gateway with the routes "/safe/" and "/unsafe/", scripted upstreams
-/// and callers, all on one event loop.
+/// \brief A gateway with the routes "/safe/", "/unsafe/", "/download/" and
+/// "/upload/", scripted upstreams and callers, all on one event loop.
 class ExchangeRig {
 public:
   explicit ExchangeRig(
       const steer::GatewaySettings &Settings = steer::GatewaySettings());
 
   /// \brief Adds an upstream that runs \p Behaviour on every connection.
-  void upstream(const std::string &Id, const Script &Behaviour);
+  void upstream(const std::string &Id, const Script &Behaviour,
+                const std::string &Service = "s");
   /// \brief Ends an upstream like a crash of its process: its connections close
   /// and new ones are refused. It stays registered.
   void crashUpstream(const std::string &Id);
