mustardspoke explain: where a gateway would send a request

Route look-up, the inputs of the choice and the choice itself are the request path's functions, moved to request_routing.h where they were part of Exchange. The splitter and the shares are copied, and the tokens of upstreams are put back afterwards; the choice reports its judgements to an optional observer, which requests don't have.

The suite Explain compares each explained choice with what the next request gets, and the state before and after; without the putting back of tokens, it fails. Quota and admission have their place between customer and shutdown in Explainer::run().

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,6 +3,7 @@
 #include "cli/caller.h"
 #include "config/config.h"
 #include "entry/entry.h"
+#include "gateway/http_message.h"
 #include "http/http.h"
 #include "observe/log.h"
 #include "platform/platform.h"
@@ -31,6 +32,8 @@
   mustardspoke bundle show --entry=ADDR --token=TEXT
   mustardspoke status --entry=ADDR --token=TEXT
   mustardspoke explain --entry=ADDR --token=TEXT [ID]
+  mustardspoke explain ADDRESS --host=NAME --path=PATH [--key=TEXT]
+               [--customer=NAME]
   mustardspoke call SERVICE --entry=ADDR [--path=PATH] [--body=FILE]
                [--tenant=NAME] [--deadline-ms=N]
   mustardspoke (-h | --help)
@@ -47,16 +50,22 @@
   bundle accept    Submits signed sections; other teams' sections stay.
   bundle show      Prints the current bundle document.
   status           Prints an entry VM's view of the fleet.
-  explain          Prints traces of recent calls, or of call ID.
+  explain          Prints traces of recent calls, or of call ID. With ADDRESS,
+                   the metrics address of a running gateway: prints where it
+                   would send a request now, and why; nothing is sent.
   call             Looks up entry VMs and makes a call through them.
 
 Options:
   --entry=ADDR     IP:port; the operators' port, for `call` the callers' port.
   --token=TEXT     The operator token from the entry VM's settings.
-  --key=FILE       File with the team's secret key, as `keys` prints it.
+  --key=FILE       File with the team's secret key, as `keys` prints it; for
+                   `explain` the affinity key of the request.
   --root-key=HEX   Public key of the root section.
   --seed=TEXT      Derives the key pair from TEXT; for demos and tests only.
-  --path=PATH      Path at the upstream [default: /].
+  --path=PATH      Path at the upstream, for `explain` that of the request
+                   [default: /].
+  --host=NAME      Host of the request.
+  --customer=NAME  Customer on whose behalf the request is sent.
   --body=FILE      Sends the contents of FILE in a POST.
 
 Exit status: 0 success; 1 refused, not run or not found; 2 invalid usage or
@@ -221,6 +230,26 @@
                                                                   : ExitUnknown;
 }
 
+/// \brief Asks a gateway where it would send a request.
+int explainRequest(const Arguments &Args) {
+  std::string Address = argument(Args, "ADDRESS");
+  HttpRequest Request{"GET", "/explain"};
+  for (const char *Name : {"host", "path", "key", "customer"}) {
+    std::string Value = argument(Args, ("--" + std::string(Name)).c_str());
+    Request.m_QueryString += (Request.m_QueryString.empty() ? "" : "&") +
+                             std::string(Name) + "=" +
+                             steer::encodeQueryValue(Value);
+  }
+  HttpExchange Exchange = httpExchange(Address, Request, OperatorTimeoutMs);
+  if (Exchange.m_Progress != HttpProgress::Answered) {
+    std::cerr << Address << ": " << Exchange.m_Error << "\n";
+    return ExitRefused;
+  }
+  bool Ok = Exchange.m_Response.m_Status == 200;
+  (Ok ? std::cout : std::cerr) << Exchange.m_Response.m_Body;
+  return Ok ? 0 : ExitRefused;
+}
+
 int acceptBundle(const Arguments &Args) {
   auto Document = readSections(Args);
   if (!Document)
@@ -278,6 +307,8 @@
     return sendToOperatorPort(Args, {"GET", "/bundle"});
   if (Has("status"))
     return sendToOperatorPort(Args, {"GET", "/status"});
+  if (Has("explain") && Args.at("ADDRESS"))
+    return explainRequest(Args);
   if (Has("explain")) {
     HttpRequest Request{"GET", "/explain"};
     if (Args.at("ID"))
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -3,6 +3,7 @@
 #include "gateway/exchange.h"
 
 #include "gateway/crash_report.h"
+#include "gateway/request_routing.h"
 #include "gateway/task.h"
 #include "observe/log.h"
 
@@ -45,21 +46,6 @@
 /// Reason of refusals of requests that end their upstreams.
 constexpr std::string_view CrashesUpstreams = "crashes-upstreams";
 
-std::string_view refusalName(RefusalReason Reason) {
-  switch (Reason) {
-  case RefusalReason::AllFull:
-    return "full";
-  case RefusalReason::AllQuiet:
-    return "quiet";
-  case RefusalReason::AllLimited:
-    return "limited";
-  case RefusalReason::None:
-  case RefusalReason::NoCandidate:
-    break;
-  }
-  return "no-upstream";
-}
-
 } // namespace
 
 Exchange::Exchange(GatewayState &State, UpstreamPool &Pool,
@@ -147,9 +133,7 @@
   if (!m_Routes)
     co_return co_await refuse(ErrorKind::NoBundle, MissingConfigRetryAfter,
                               "no-configuration");
-  std::string_view Path = m_Request->m_Head.m_Target;
-  Path = Path.substr(0, Path.find('?'));
-  m_Route = m_Routes->find(hostWithoutPort(m_Request->m_Head), Path);
+  m_Route = findRoute(*m_Routes, m_Request->m_Head);
   if (!m_Route)
     co_return co_await refuse(ErrorKind::UnknownService, Duration::zero(),
                               "no-route");
@@ -249,30 +233,13 @@
 
 Choice Exchange::choose(UpstreamStrategy Strategy,
                         std::span<const Upstream *const> Excluded) const {
-  ChoiceInput Input{*m_Route, m_Routes->findService(m_TargetService),
-                    m_TargetService, m_Customer};
-  // A request without an affinity key is distributed by its own identifier.
-  Input.m_KeyHash =
-      stableHash(m_Metadata.m_AffinityKey.empty() ? m_Metadata.m_RequestId
-                                                  : m_Metadata.m_AffinityKey);
-  Input.m_Now = steadyNow();
-  Input.m_TimeToTarget = m_ArrivedAt + m_Route->m_TargetLatency - Input.m_Now;
-  Input.m_MeanProcessingTime =
-      m_State.m_Upstreams.meanProcessingTime(m_TargetService);
-  Input.m_LocalShare = m_State.m_LocalShares.shareOf(m_TargetService);
-  Input.m_MayOverflow = m_State.m_LocalShares.mayOverflow(
-      m_TargetService, Input.m_Now, m_State.m_Settings.m_LocalShare);
-  auto MeanBytes = m_State.m_MeanResponseBytes.find(m_Route->m_Name);
-  if (MeanBytes != m_State.m_MeanResponseBytes.end())
-    Input.m_MeanAnswerBytes = std::uint64_t(MeanBytes->second);
+  ChoiceInput Input = choiceInput(
+      m_State, m_State.m_LocalShares,
+      {*m_Routes, *m_Route, m_Customer, m_TargetService,
+       requestKeyHash(m_Metadata.m_AffinityKey, m_Metadata.m_RequestId),
+       m_ArrivedAt},
+      steadyNow());
   Input.m_Tried = Excluded;
-  Input.m_Fleet = &m_State.m_Fleet;
-  Input.m_SenderFraction = [](const void *FleetState, const Upstream &Target,
-                              unsigned MaxSenders, TimePoint Now) {
-    return static_cast<const Fleet *>(FleetState)
-        ->senderFraction(Target.m_IdHash, Target.m_Registration.m_Region,
-                         MaxSenders, Now);
-  };
   return Strategy(Input, m_State.m_Upstreams, m_State.m_Settings.m_Placement,
                   m_State.m_Settings.m_Choice);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "gateway/buffer_report.h"
 #include "gateway/crash_report.h"
 #include "gateway/exchange.h"
+#include "gateway/explain.h"
 #include "gateway/limit_report.h"
 #include "gateway/link_monitor.h"
 #include "gateway/peers.h"
@@ -38,6 +39,8 @@
 /// For a predecessor that still has an address of this process.
 constexpr Duration MaxAddressWait = 3s;
 constexpr Duration TickInterval = 500ms;
+/// On the metrics address; every other path is the metrics'.
+constexpr std::string_view ExplainPath = "/explain";
 /// Room for the fields that a peer adds to a request.
 constexpr std::uint32_t RelayHeaderBytes = 1024;
 /// Peers close their connections to this VM after less.
@@ -163,7 +166,9 @@
                               Addresses, m_State.m_Settings.m_LookupTtl));
 }
 
-std::string Gateway::metricsPage(const HttpHead & /*Head*/) {
+std::string Gateway::metricsPage(const HttpHead &Head) {
+  if (Head.m_Target.substr(0, Head.m_Target.find('?')) == ExplainPath)
+    return explainPage(m_State, Head.m_Target);
   return completeResponse(
       200, "text/plain",
       m_State.m_Metrics.exposition() + m_Replica.exposition() +
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -130,6 +130,23 @@
          Target.m_RateLimit.permits(Input.m_Now, limitFraction(Target, Input));
 }
 
+void note(const ChoiceInput &Input, const Upstream &Target, Verdict Result) {
+  if (Input.m_Observer)
+    Input.m_Observer->judged(Target, Result);
+}
+
+/// \brief Why \p Target isn't a candidate.
+Verdict whyNoCandidate(const Upstream &Target, const ChoiceInput &Input,
+                       const UpstreamTable &Table) {
+  if (Table.exclusion(Target, Input.m_Now) != Exclusion::None)
+    return Verdict::Excluded;
+  if (wasTried(Target, Input.m_Tried))
+    return Verdict::Tried;
+  if (!Input.allows(Target.m_Registration.m_Region))
+    return Verdict::RegionNotAllowed;
+  return Verdict::RateLimited;
+}
+
 /// \brief Refusal for lack of any candidate: until their limits allow further
 /// requests, or until the first of the upstreams that asked for a pause is
 /// back. Callers return spread out after it.
@@ -180,8 +197,11 @@
     if (Table.exclusion(*Entry, Input.m_Now) != Exclusion::None ||
         wasTried(*Entry, Input.m_Tried) ||
         !Input.allows(Entry->m_Registration.m_Region) ||
-        !isWithinLimit(*Entry, Input))
+        !isWithinLimit(*Entry, Input)) {
+      if (Input.m_Observer)
+        note(Input, *Entry, whyNoCandidate(*Entry, Input, Table));
       continue;
+    }
     Candidate Next;
     Next.m_Upstream = Entry.get();
     Next.m_Tier = tierOf(*Entry, Local, LargeAnswer, ServeLocally);
@@ -211,6 +231,15 @@
   return !Entry.m_IsLastResort && !Entry.m_IsEjected;
 }
 
+/// \brief Why \p Entry isn't used as a last resort.
+Verdict whyNotLastResort(const Candidate &Entry, const ChoiceInput &Input,
+                         const ChoiceTuning &Tuning) {
+  if (Entry.m_IsEjected)
+    return Verdict::Ejected;
+  return hasFreeSlot(*Entry.m_Upstream, Input, Tuning) ? Verdict::ColdRate
+                                                       : Verdict::NoFreeSlot;
+}
+
 Choice select(const Candidate &Selected, const ChoiceInput &Input,
               const ChoiceTuning &Tuning) {
   Choice Result;
@@ -219,24 +248,48 @@
   Result.m_IsOverflow = Selected.m_Tier == Tier::Second;
   if (Selected.m_Upstream->m_RateLimit.isSet(Input.m_Now))
     Selected.m_Upstream->m_RateLimit.recordRequest();
+  note(Input, *Selected.m_Upstream, Verdict::Selected);
   return Result;
 }
 
+/// \brief Tells an observer the order in which candidates are considered.
+void observeOrder(std::vector<Candidate> Candidates, const ChoiceInput &Input,
+                  const ChoiceTuning &Tuning) {
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const Candidate &Left, const Candidate &Right) {
+              return isHealthy(Left) != isHealthy(Right)
+                         ? isHealthy(Left)
+                         : isPreferred(Left, Right);
+            });
+  for (const Candidate &Each : Candidates)
+    Input.m_Observer->ranked(*Each.m_Upstream,
+                             expectedLatency(*Each.m_Upstream, Input, Tuning));
+}
+
 /// \brief Drops the last tier unless it is the only one.
-void keepToFirstTiers(std::vector<Candidate> &Candidates) {
+void keepToFirstTiers(std::vector<Candidate> &Candidates,
+                      const ChoiceInput &Input) {
   auto InLastTier = [](const Candidate &Entry) {
     return Entry.m_Tier == Tier::Second;
   };
-  if (!std::all_of(Candidates.begin(), Candidates.end(), InLastTier))
-    std::erase_if(Candidates, InLastTier);
+  if (std::all_of(Candidates.begin(), Candidates.end(), InLastTier))
+    return;
+  for (const Candidate &Each : Candidates)
+    if (InLastTier(Each))
+      note(Input, *Each.m_Upstream, Verdict::OutsideKeyRegions);
+  std::erase_if(Candidates, InLastTier);
 }
 
 Choice selectByKey(const ChoiceInput &Input, const UpstreamTable &Table,
                    const Placement &Local, const ChoiceTuning &Tuning) {
+  if (Input.m_Observer)
+    Input.m_Observer->beginPass();
   std::vector<Candidate> Candidates =
       findCandidates(Input, Table, Local, Tuning);
   if (!Input.m_MayOverflow)
-    keepToFirstTiers(Candidates);
+    keepToFirstTiers(Candidates, Input);
+  if (Input.m_Observer)
+    observeOrder(Candidates, Input, Tuning);
   if (Candidates.empty())
     return refuseWithoutCandidate(Input, Table);
   Choice Refusal;
@@ -252,19 +305,26 @@
   for (const Candidate &Holder : std::span(Candidates.begin(), NonHolders)) {
     if (canMeetTarget(*Holder.m_Upstream, Input, Tuning))
       return select(Holder, Input, Tuning);
+    note(Input, *Holder.m_Upstream, Verdict::TooLate);
     Soonest =
         std::min(Soonest, expectedLatency(*Holder.m_Upstream, Input, Tuning));
   }
   std::sort(NonHolders, Unhealthy, isPreferred);
-  for (const Candidate &NonHolder : std::span(NonHolders, Unhealthy))
+  for (const Candidate &NonHolder : std::span(NonHolders, Unhealthy)) {
     if (acceptsAsNonHolder(*NonHolder.m_Upstream, Input, Tuning))
       return select(NonHolder, Input, Tuning);
+    note(Input, *NonHolder.m_Upstream, Verdict::BusyNonHolder);
+  }
   std::sort(Unhealthy, Candidates.end(), isPreferred);
-  for (const Candidate &LastResort : std::span(Unhealthy, Candidates.end()))
+  for (const Candidate &LastResort : std::span(Unhealthy, Candidates.end())) {
     if (!LastResort.m_IsEjected &&
         hasFreeSlot(*LastResort.m_Upstream, Input, Tuning) &&
         takeColdToken(*LastResort.m_Upstream, Input, Tuning))
       return select(LastResort, Input, Tuning);
+    if (Input.m_Observer)
+      note(Input, *LastResort.m_Upstream,
+           whyNotLastResort(LastResort, Input, Tuning));
+  }
   Refusal.m_RefusalReason = RefusalReason::AllFull;
   Refusal.m_RetryAfter = std::clamp<Duration>(Soonest / 2, 80ms, 400ms);
   return Refusal;
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -44,6 +44,36 @@
   unsigned m_MaxColdSenders = 6;
 };
 
+/// \brief How a selection judged an upstream.
+enum class Verdict : std::uint8_t {
+  NotNeeded, ///< One that goes before it was selected.
+  Selected,
+  Excluded,          ///< See UpstreamTable::exclusion().
+  Tried,             ///< In an earlier attempt.
+  RegionNotAllowed,  ///< By the route or the customer.
+  RateLimited,       ///< At the rate limit that it named.
+  OutsideKeyRegions, ///< The request may not overflow.
+  Ejected,           ///< After failures.
+  TooLate,           ///< A holder that can't answer in time.
+  BusyNonHolder,     ///< Doesn't hold the key, and isn't idle enough for it.
+  NoFreeSlot,        ///< Cold or slow.
+  ColdRate,          ///< Cold; its rate allows no request now.
+};
+
+/// \brief Is told how a selection judges each upstream. Requests have none.
+class ChoiceObserver {
+public:
+  virtual ~ChoiceObserver() = default;
+  /// \brief A selection begins, or begins anew under other conditions.
+  virtual void beginPass() = 0;
+  /// \brief Called for each candidate, in order of preference.
+  /// \param Expected Time to an answer.
+  virtual void ranked(const Upstream &Candidate, Duration Expected) = 0;
+  /// \brief Called at most once for each upstream. A candidate without a
+  /// verdict wasn't needed.
+  virtual void judged(const Upstream &Target, Verdict Result) = 0;
+};
+
 /// \brief All inputs of one selection.
 struct ChoiceInput {
   const Route &m_Route;
@@ -69,7 +99,8 @@
   /// has an equal part.
   double (*m_SenderFraction)(const void *Fleet, const Upstream &Target,
                              unsigned MaxSenders, TimePoint Now) = nullptr;
-  const void *m_Fleet = nullptr; ///< First argument of m_SenderFraction.
+  const void *m_Fleet = nullptr;        ///< First argument of m_SenderFraction.
+  ChoiceObserver *m_Observer = nullptr; ///< Null on the request path.
 
   /// \brief Whether upstreams of \p Region may get the request: the regions of
   /// the route and of the customer both bind.
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -62,6 +62,9 @@
   /// Whether it is the result of steps under load. Only such shares are sent to
   /// the VMs of the own region.
   bool m_IsAdjusted = false;
+
+  friend bool operator==(const LocalShareState &,
+                         const LocalShareState &) = default;
 };
 
 /// \brief Controls, for each service, the share of the keys of the own region's
@@ -115,6 +118,8 @@
       Visit(Service, static_cast<const LocalShareState &>(Entry));
   }
 
+  friend bool operator==(const LocalShares &, const LocalShares &) = default;
+
 private:
   /// \brief Requests whose keys are assigned to one side, with exponential
   /// decay.
@@ -123,6 +128,8 @@
     double m_Refused = 0;
     [[nodiscard]] double servedFraction() const;
     void decay();
+
+    friend bool operator==(const Assigned &, const Assigned &) = default;
   };
 
   struct Share : LocalShareState {
@@ -139,6 +146,8 @@
     double m_OverflowTokens = 0;  ///< Overflows that are allowed now.
     Assigned m_LocalKeys;
     Assigned m_RemoteKeys;
+
+    friend bool operator==(const Share &, const Share &) = default;
   };
 
   static void recordSlots(Share &Current, unsigned Local, unsigned Total,
--- a/src/steer/rate_limit.h
+++ b/src/steer/rate_limit.h
@@ -25,6 +25,8 @@
   /// \returns Whether there was a token.
   bool take() noexcept;
 
+  friend bool operator==(const TokenBucket &, const TokenBucket &) = default;
+
 private:
   double m_Tokens;
   TimePoint m_UpdatedAt;
@@ -39,6 +41,8 @@
   /// than that in which the upstream wrote them; a later request was answered
   /// with newer knowledge.
   TimePoint m_At{};
+
+  friend bool operator==(const StatedLimit &, const StatedLimit &) = default;
 };
 
 /// \brief Effect of a statement on what was known.
@@ -75,6 +79,8 @@
   /// \brief Counts a request that is sent; permits() must have held.
   void recordRequest() { m_Tokens.take(); }
 
+  friend bool operator==(const RateLimit &, const RateLimit &) = default;
+
 private:
   /// Tokens for this time may be saved up.
   static constexpr double BurstSeconds = 0.25;
@@ -91,6 +97,9 @@
   /// \returns The delay for the next refused caller.
   [[nodiscard]] Duration reserve(TimePoint Now, double Rate);
 
+  friend bool operator==(const ReturnSchedule &,
+                         const ReturnSchedule &) = default;
+
 private:
   static constexpr Duration UnknownDelay = 1s;
   static constexpr Duration MaxDelay = 10s;
--- a/src/steer/retry_budget.h
+++ b/src/steer/retry_budget.h
@@ -31,6 +31,8 @@
   [[nodiscard]] bool takeRetry(TimePoint Now, double SlackFraction,
                                const RetryBudgetTuning &Tuning);
 
+  friend bool operator==(const RetryBudget &, const RetryBudget &) = default;
+
 private:
   static constexpr std::size_t SlotCount = 10;
   /// Counters of one tenth of the window.
@@ -38,6 +40,8 @@
     std::int64_t m_Index = -1; ///< Start time divided by the slot length.
     std::uint64_t m_Requests = 0;
     std::uint64_t m_Retries = 0;
+
+    friend bool operator==(const Slot &, const Slot &) = default;
   };
 
   Slot &slot(TimePoint Now);
--- a/src/steer/route_table.h
+++ b/src/steer/route_table.h
@@ -105,10 +105,15 @@
   /// \returns The target of the next request on \p Split.
   [[nodiscard]] const ServiceName &next(const Route &Split);
 
+  friend bool operator==(const TrafficSplitter &,
+                         const TrafficSplitter &) = default;
+
 private:
   struct Credit {
     ServiceName m_Service;
     std::int64_t m_Credit = 0; ///< Sums to zero over the targets of a route.
+
+    friend bool operator==(const Credit &, const Credit &) = default;
   };
   std::map<std::string, std::vector<Credit>, std::less<>> m_Routes;
 };
