Uploads stay in the own region while it has capacity

An upload whose key another region serves, or whose holder was busy, went to another region although upstreams of the own one could answer in time. The choice now takes the first of these by rank, and goes on as before if there is none. Ejected, slow and cold upstreams don't count: an upload may run only once.

The test of refused uploads failed once in the whole suite: a VM without any upstream waits 500 ms after its start for the first read of the store, which the test took for a refusal. It now has an upstream of another service.

--- a/src/gateway/explain.cpp
+++ b/src/gateway/explain.cpp
@@ -75,7 +75,7 @@
   case Verdict::Ejected:
     return "ejected after failures";
   case Verdict::TooLate:
-    return "holds the key, but can't answer within the target latency";
+    return "can't answer within the target latency";
   case Verdict::BusyNonHolder:
     return "doesn't hold the key, and is too busy to take it";
   case Verdict::NoFreeSlot:
@@ -112,7 +112,7 @@
   std::vector<Saved> m_Saved;
 };
 
-/// \brief Keeps the judgements of the last pass of a selection.
+/// \brief Keeps the judgements of a selection.
 class JudgementLog final : public ChoiceObserver {
 public:
   struct Entry {
@@ -121,7 +121,6 @@
     Verdict m_Verdict = Verdict::NotNeeded;
   };
 
-  void beginPass() override { m_Entries.clear(); }
   void ranked(const Upstream &Candidate, Duration Expected) override {
     m_Entries.push_back({&Candidate, Expected, Verdict::NotNeeded});
   }
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -252,9 +252,40 @@
   return Result;
 }
 
+/// \brief Whether \p Entry goes before upstreams of other regions, whatever the
+/// key: the body of an upload costs more on the way there than a cold cache.
+bool isNearbyForUpload(const Candidate &Entry, const ChoiceInput &Input,
+                       const Placement &Local) {
+  return Input.m_Route.m_RetrySafety == RetrySafety::Upload &&
+         isHealthy(Entry) &&
+         Entry.m_Upstream->m_Registration.m_Region == Local.m_Region;
+}
+
+/// \brief The first upstream of the own region, by rank, that can answer an
+/// upload in time, or null.
+const Candidate *findNearbyForUpload(std::span<const Candidate> Candidates,
+                                     const ChoiceInput &Input,
+                                     const Placement &Local,
+                                     const ChoiceTuning &Tuning) {
+  const Candidate *Best = nullptr;
+  for (const Candidate &Each : Candidates) {
+    if ((Best && Each.m_Rank < Best->m_Rank) ||
+        !isNearbyForUpload(Each, Input, Local))
+      continue;
+    if (canMeetTarget(*Each.m_Upstream, Input, Tuning))
+      Best = &Each;
+    else
+      note(Input, *Each.m_Upstream, Verdict::TooLate);
+  }
+  return Best;
+}
+
 /// \brief Tells an observer the order in which candidates are considered.
 void observeOrder(std::vector<Candidate> Candidates, const ChoiceInput &Input,
-                  const ChoiceTuning &Tuning) {
+                  const Placement &Local, const ChoiceTuning &Tuning) {
+  for (Candidate &Each : Candidates)
+    if (isNearbyForUpload(Each, Input, Local))
+      Each.m_Tier = Tier::SameDomain;
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &Left, const Candidate &Right) {
               return isHealthy(Left) != isHealthy(Right)
@@ -282,14 +313,19 @@
 
 Choice selectByKey(const ChoiceInput &Input, const UpstreamTable &Table,
                    const Placement &Local, const ChoiceTuning &Tuning) {
-  if (Input.m_Observer)
-    Input.m_Observer->beginPass();
   std::vector<Candidate> Candidates =
       findCandidates(Input, Table, Local, Tuning);
+  if (Input.m_Observer)
+    observeOrder(Candidates, Input, Local, Tuning);
+  if (Input.m_Route.m_RetrySafety == RetrySafety::Upload)
+    if (const Candidate *Nearby =
+            findNearbyForUpload(Candidates, Input, Local, Tuning)) {
+      Choice Result = select(*Nearby, Input, Tuning);
+      Result.m_IsOverflow = false;
+      return Result;
+    }
   if (!Input.m_MayOverflow)
     keepToFirstTiers(Candidates, Input);
-  if (Input.m_Observer)
-    observeOrder(Candidates, Input, Tuning);
   if (Candidates.empty())
     return refuseWithoutCandidate(Input, Table);
   Choice Refusal;
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -54,7 +54,7 @@
   RateLimited,       ///< At the rate limit that it named.
   OutsideKeyRegions, ///< The request may not overflow.
   Ejected,           ///< After failures.
-  TooLate,           ///< A holder that can't answer in time.
+  TooLate,           ///< Can't answer in time.
   BusyNonHolder,     ///< Doesn't hold the key, and isn't idle enough for it.
   NoFreeSlot,        ///< Cold or slow.
   ColdRate,          ///< Cold; its rate allows no request now.
@@ -64,13 +64,11 @@
 class ChoiceObserver {
 public:
   virtual ~ChoiceObserver() = default;
-  /// \brief A selection begins, or begins anew under other conditions.
-  virtual void beginPass() = 0;
   /// \brief Called for each candidate, in order of preference.
   /// \param Expected Time to an answer.
   virtual void ranked(const Upstream &Candidate, Duration Expected) = 0;
-  /// \brief Called at most once for each upstream. A candidate without a
-  /// verdict wasn't needed.
+  /// \brief The last verdict on an upstream counts. A candidate without one
+  /// wasn't needed.
   virtual void judged(const Upstream &Target, Verdict Result) = 0;
 };
 
@@ -141,6 +139,8 @@
 /// \brief Prefers the holders of the key, which lie in the own region for a
 /// stable share of the keys; then any upstream with low load. Refuses
 /// immediately if no upstream is expected to answer within the target latency.
+/// An upload goes to any upstream of the own region first that can answer in
+/// time.
 [[nodiscard]] Choice chooseByKeyLocalFirst(const ChoiceInput &Input,
                                            const UpstreamTable &Table,
                                            const Placement &Local,
--- a/tests/unit/upload_test.cpp
+++ b/tests/unit/upload_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "support/exchange_rig.h"
+#include "support/two_regions.h"
 
 #include <boost/asio/write.hpp>
 
@@ -119,6 +120,13 @@
          Fields + "Content-Length: 0\r\n\r\n";
 }
 
+/// \brief Two regions whose route is for uploads.
+TwoRegions withUploads() {
+  TwoRegions System;
+  System.m_Route.m_RetrySafety = RetrySafety::Upload;
+  return System;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Uploads)
@@ -282,6 +290,11 @@
        [](ExchangeRig &Rig) {
          for (const std::string &Id : Rig.m_State.m_Upstreams.ids())
            (void)Rig.m_State.m_Upstreams.remove(Id, steadyNow());
+         // A VM that has just started waits for the first ones.
+         UpstreamRegistration Other;
+         Other.m_Id = "other";
+         Other.m_Service = ServiceName("other");
+         (void)Rig.m_State.m_Upstreams.put(Other, steadyNow());
        },
        503},
       {"no route",
@@ -311,4 +324,71 @@
     }
 }
 
+// Guards against bodies that cross regions while the own one has capacity.
+BOOST_AUTO_TEST_CASE(UploadsLeaveTheRegionOnlyWhenItIsFull) {
+  for (double LocalShare : {0.0, 0.5, 1.0}) {
+    TwoRegions System = withUploads();
+    unsigned Elsewhere = 0;
+    for (int Key = 0; Key < 40; ++Key) {
+      ChoiceInput Input = System.input(Key);
+      Input.m_TimeToTarget = 200ms; // No time for a queue.
+      Input.m_LocalShare = LocalShare;
+      bool HasRoom = false;
+      System.m_Table.forEach([&HasRoom](const Upstream &Target) {
+        HasRoom =
+            HasRoom || (Target.m_Registration.m_Region == Small.m_Region &&
+                        Target.m_InFlight < 4);
+      });
+      Choice Selected =
+          chooseByKeyLocalFirst(Input, System.m_Table, Small, System.m_Tuning);
+      if (HasRoom)
+        BOOST_REQUIRE(Selected.m_Upstream);
+      if (!Selected.m_Upstream)
+        continue;
+      bool IsLocal =
+          Selected.m_Upstream->m_Registration.m_Region == Small.m_Region;
+      BOOST_TEST(IsLocal >= HasRoom, "request " << Key);
+      Elsewhere += IsLocal ? 0 : 1;
+      ++Selected.m_Upstream->m_InFlight;
+    }
+    BOOST_TEST(Elsewhere > 0U);
+  }
+  // Control: other requests follow the share of keys.
+  TwoRegions System;
+  BOOST_TEST((System.choose(1, Small, 0).m_Upstream->m_Registration.m_Region ==
+              Large.m_Region));
+}
+
+BOOST_AUTO_TEST_CASE(UploadsRespectAllowedRegionsAndTriedUpstreams) {
+  TwoRegions System = withUploads();
+  System.m_Route.m_AllowedRegions = {Large.m_Region};
+  ChoiceInput Input = System.input(1);
+  Choice Selected =
+      chooseByKeyLocalFirst(Input, System.m_Table, Small, System.m_Tuning);
+  BOOST_REQUIRE(Selected.m_Upstream);
+  BOOST_TEST((Selected.m_Upstream->m_Registration.m_Region == Large.m_Region));
+  System.m_Route.m_AllowedRegions.clear();
+  std::vector<const Upstream *> Tried{System.m_Table.find("s0").get(),
+                                      System.m_Table.find("s1").get()};
+  Input.m_Tried = Tried;
+  Selected =
+      chooseByKeyLocalFirst(Input, System.m_Table, Small, System.m_Tuning);
+  BOOST_REQUIRE(Selected.m_Upstream);
+  BOOST_TEST((Selected.m_Upstream->m_Registration.m_Region == Large.m_Region));
+}
+
+// Guards against uploads, which may run once only, at failing upstreams of the
+// own region while others work.
+BOOST_AUTO_TEST_CASE(UploadsLeaveARegionWhoseUpstreamsFail) {
+  TwoRegions System = withUploads();
+  for (const char *Id : {"s0", "s1"})
+    System.m_Table.find(Id)->recordEnd(Start, System.m_Tuning.m_HealthTuning);
+  ChoiceInput Input = System.input(1);
+  Input.m_Now = Start + 1ms;
+  Choice Selected =
+      chooseByKeyLocalFirst(Input, System.m_Table, Small, System.m_Tuning);
+  BOOST_REQUIRE(Selected.m_Upstream);
+  BOOST_TEST((Selected.m_Upstream->m_Registration.m_Region == Large.m_Region));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
