--- a/src/gateway/exchange_outcome.cpp
+++ b/src/gateway/exchange_outcome.cpp
@@ -89,7 +89,7 @@
     recordAnswer(*Target);
     break;
   case AttemptResult::NotRun:
-    m_State.m_KeyPlacement.recordRejected(keyHash(), *Target);
+    m_State.m_KeyPlacement.recordRejected(placementKey(), *Target);
     break;
   case AttemptResult::NotSent:
     recordUnsent(*Target);
@@ -124,7 +124,7 @@
         m_Outcome.m_AnsweredAt, m_Outcome.m_AnsweredAt - m_Outcome.m_SentAt,
         m_Choice.m_Load, Tuning);
     std::optional<bool> IsHeld;
-    if (!servesPeer() && usesPlacement())
+    if (!servesPeer() && placementKey() != NoPlacementKey)
       IsHeld = m_Choice.m_IsHeld;
     m_State.m_Upstreams.recordProcessingTime(Target.m_Registration.m_Service,
                                              Work, IsHeld);
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -150,6 +150,23 @@
          Target.m_RateLimit.permits(Input.m_Now, limitFraction(Target, Input));
 }
 
+void note(const ChoiceInput &Input, const Upstream &Target, Verdict Result) {
+  if (Input.m_Observer)
+    Input.m_Observer->judged(Target, Result);
+}
+
+/// \brief Why \p Target isn't a candidate.
+Verdict whyNoCandidate(const Upstream &Target, const ChoiceInput &Input,
+                       const UpstreamTable &Table) {
+  if (Table.exclusion(Target, Input.m_Now) != Exclusion::None)
+    return Verdict::Excluded;
+  if (wasTried(Target, Input.m_Tried))
+    return Verdict::Tried;
+  if (!Input.allows(Target.m_Registration.m_Region))
+    return Verdict::RegionNotAllowed;
+  return Verdict::RateLimited;
+}
+
 /// \brief Refusal for lack of any candidate: until their limits allow further
 /// requests, or until the first of the upstreams that asked for a pause is
 /// back. Callers return spread out after it.
@@ -200,8 +217,11 @@
     if (Table.exclusion(*Entry, Input.m_Now) != Exclusion::None ||
         wasTried(*Entry, Input.m_Tried) ||
         !Input.allows(Entry->m_Registration.m_Region) ||
-        !isWithinLimit(*Entry, Input))
+        !isWithinLimit(*Entry, Input)) {
+      if (Input.m_Observer)
+        note(Input, *Entry, whyNoCandidate(*Entry, Input, Table));
       continue;
+    }
     Candidate Next;
     Next.m_Upstream = Entry.get();
     Next.m_Tier = tierOf(*Entry, Local, LargeAnswer, ServeLocally);
@@ -231,27 +251,87 @@
   return !Entry.m_IsLastResort && !Entry.m_IsEjected;
 }
 
+/// \brief Why \p Entry isn't used as a last resort.
+Verdict whyNotLastResort(const Candidate &Entry, const ChoiceInput &Input,
+                         const ChoiceTuning &Tuning) {
+  if (Entry.m_IsEjected)
+    return Verdict::Ejected;
+  return hasFreeSlot(*Entry.m_Upstream, Input, Tuning) ? Verdict::ColdRate
+                                                       : Verdict::NoFreeSlot;
+}
+
 Choice select(const Candidate &Selected, const ChoiceInput &Input,
               const ChoiceTuning &Tuning) {
   Choice Result;
   Result.m_Upstream = UpstreamPtr(Selected.m_Upstream);
   Result.m_Load = Selected.m_Upstream->load(Input.m_Now, Tuning.m_HealthTuning);
   Result.m_IsOverflow = Selected.m_Tier == Tier::Second;
-  Result.m_IsHeld = Input.m_Placement &&
-                    Input.m_Placement->isHeld(
-                        Input.m_KeyHash, *Selected.m_Upstream, Input.m_Now);
+  Result.m_IsHeld = Input.m_Placement && Input.m_Placement->isHeld(
+                                             Input.m_PlacementKey,
+                                             *Selected.m_Upstream, Input.m_Now);
   if (Selected.m_Upstream->m_RateLimit.isSet(Input.m_Now))
     Selected.m_Upstream->m_RateLimit.recordRequest();
+  note(Input, *Selected.m_Upstream, Verdict::Selected);
   return Result;
 }
 
+/// \brief Whether \p Entry goes before upstreams of other regions, whatever the
+/// key: the body of an upload costs more on the way there than a cold cache.
+bool isNearbyForUpload(const Candidate &Entry, const ChoiceInput &Input,
+                       const Placement &Local) {
+  return Input.m_Route.m_RetrySafety == RetrySafety::Upload &&
+         isHealthy(Entry) &&
+         Entry.m_Upstream->m_Registration.m_Region == Local.m_Region;
+}
+
+/// \brief The first upstream of the own region, by rank, that can answer an
+/// upload in time, or null.
+const Candidate *findNearbyForUpload(std::span<const Candidate> Candidates,
+                                     const ChoiceInput &Input,
+                                     const Placement &Local,
+                                     const ChoiceTuning &Tuning) {
+  const Candidate *Best = nullptr;
+  for (const Candidate &Each : Candidates) {
+    if ((Best && Each.m_Rank < Best->m_Rank) ||
+        !isNearbyForUpload(Each, Input, Local))
+      continue;
+    if (canMeetTarget(*Each.m_Upstream, Input, Tuning))
+      Best = &Each;
+    else
+      note(Input, *Each.m_Upstream, Verdict::TooLate);
+  }
+  return Best;
+}
+
+/// \brief Tells an observer the order in which candidates are considered.
+void observeOrder(std::vector<Candidate> Candidates, const ChoiceInput &Input,
+                  const Placement &Local, const ChoiceTuning &Tuning) {
+  for (Candidate &Each : Candidates)
+    if (isNearbyForUpload(Each, Input, Local))
+      Each.m_Tier = Tier::SameDomain;
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const Candidate &Left, const Candidate &Right) {
+              return isHealthy(Left) != isHealthy(Right)
+                         ? isHealthy(Left)
+                         : isPreferred(Left, Right);
+            });
+  for (const Candidate &Each : Candidates)
+    Input.m_Observer->ranked(*Each.m_Upstream,
+                             expectedLatency(*Each.m_Upstream, Input, Tuning));
+}
+
 /// \brief Drops the last tier unless it is the only one.
-void keepToFirstTiers(std::vector<Candidate> &Candidates) {
+void keepToFirstTiers(std::vector<Candidate> &Candidates,
+                      const ChoiceInput &Input) {
   auto InLastTier = [](const Candidate &Entry) {
     return Entry.m_Tier == Tier::Second;
   };
-  if (!std::all_of(Candidates.begin(), Candidates.end(), InLastTier))
-    std::erase_if(Candidates, InLastTier);
+  if (std::all_of(Candidates.begin(), Candidates.end(), InLastTier))
+    return;
+  for (const Candidate &Each : Candidates)
+    if (InLastTier(Each))
+      note(Input, *Each.m_Upstream, Verdict::OutsideKeyRegions);
+  std::erase_if(Candidates, InLastTier);
 }
 
 /// \brief Probability that an upstream which holds the key answers after the
@@ -293,7 +373,7 @@
   const Upstream &First = *Holders[0].m_Upstream;
   const Upstream &Second = *Holders[1].m_Upstream;
   auto Holds = [&Input](const Upstream &Target) {
-    return Input.m_Placement->isHeld(Input.m_KeyHash, Target, Input.m_Now);
+    return Input.m_Placement->isHeld(Input.m_PlacementKey, Target, Input.m_Now);
   };
   bool SecondHolds = Holds(Second);
   // Other VMs send the key to the first candidate as well.
@@ -311,12 +391,40 @@
     std::swap(Holders[0], Holders[1]);
 }
 
+/// \brief Whether the upstreams of the key's regions have room for keys beside
+/// those that are theirs by rank.
+bool mayMoveKeys(std::span<const Candidate> Candidates,
+                 const ChoiceInput &Input, const ChoiceTuning &Tuning) {
+  if (!Input.m_Placement)
+    return false;
+  std::optional<unsigned> Keys =
+      Input.m_Placement->activeKeys(Input.m_PlacementKey.m_ServiceHash);
+  if (!Keys)
+    return false;
+  auto Upstreams = std::ranges::count_if(Candidates, [](const Candidate &Each) {
+    return Each.m_Tier != Tier::Second && isHealthy(Each);
+  });
+  double Assigned =
+      servedLocally(Input) ? Input.m_LocalShare : 1 - Input.m_LocalShare;
+  return double(*Keys) * Assigned <=
+         double(Upstreams) * Tuning.m_MaxKeysPerUpstream;
+}
+
 Choice selectByKey(const ChoiceInput &Input, const UpstreamTable &Table,
                    const Placement &Local, const ChoiceTuning &Tuning) {
   std::vector<Candidate> Candidates =
       findCandidates(Input, Table, Local, Tuning);
+  if (Input.m_Observer)
+    observeOrder(Candidates, Input, Local, Tuning);
+  if (Input.m_Route.m_RetrySafety == RetrySafety::Upload)
+    if (const Candidate *Nearby =
+            findNearbyForUpload(Candidates, Input, Local, Tuning)) {
+      Choice Result = select(*Nearby, Input, Tuning);
+      Result.m_IsOverflow = false;
+      return Result;
+    }
   if (!Input.m_MayOverflow)
-    keepToFirstTiers(Candidates);
+    keepToFirstTiers(Candidates, Input);
   if (Candidates.empty())
     return refuseWithoutCandidate(Input, Table);
   Choice Refusal;
@@ -324,7 +432,7 @@
       std::partition(Candidates.begin(), Candidates.end(), isHealthy);
   // Usually a holder accepts the request, so the others are sorted only if
   // they are needed.
-  bool PlacesKeys = Input.m_Placement && Input.m_Route.m_KeyAffinity;
+  bool PlacesKeys = mayMoveKeys(Candidates, Input, Tuning);
   unsigned HolderCount =
       PlacesKeys ? std::max(Tuning.m_HoldersPerKey, Tuning.m_PlacementsPerKey)
                  : Tuning.m_HoldersPerKey;
@@ -338,19 +446,26 @@
   for (const Candidate &Holder : std::span(Candidates.begin(), NonHolders)) {
     if (canMeetTarget(*Holder.m_Upstream, Input, Tuning))
       return select(Holder, Input, Tuning);
+    note(Input, *Holder.m_Upstream, Verdict::TooLate);
     Soonest =
         std::min(Soonest, expectedLatency(*Holder.m_Upstream, Input, Tuning));
   }
   std::sort(NonHolders, Unhealthy, isPreferred);
-  for (const Candidate &NonHolder : std::span(NonHolders, Unhealthy))
+  for (const Candidate &NonHolder : std::span(NonHolders, Unhealthy)) {
     if (acceptsAsNonHolder(*NonHolder.m_Upstream, Input, Tuning))
       return select(NonHolder, Input, Tuning);
+    note(Input, *NonHolder.m_Upstream, Verdict::BusyNonHolder);
+  }
   std::sort(Unhealthy, Candidates.end(), isPreferred);
-  for (const Candidate &LastResort : std::span(Unhealthy, Candidates.end()))
+  for (const Candidate &LastResort : std::span(Unhealthy, Candidates.end())) {
     if (!LastResort.m_IsEjected &&
         hasFreeSlot(*LastResort.m_Upstream, Input, Tuning) &&
         takeColdToken(*LastResort.m_Upstream, Input, Tuning))
       return select(LastResort, Input, Tuning);
+    if (Input.m_Observer)
+      note(Input, *LastResort.m_Upstream,
+           whyNotLastResort(LastResort, Input, Tuning));
+  }
   Refusal.m_RefusalReason = RefusalReason::AllFull;
   Refusal.m_RetryAfter = std::clamp<Duration>(Soonest / 2, 80ms, 400ms);
   return Refusal;
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -28,6 +28,9 @@
   /// requests would else be late: each move makes one request late, and one of
   /// another key that is evicted.
   double m_MoveRisk = 0.13;
+  /// No key moves while the upstreams of the first tier have more keys than
+  /// this each: they may have to evict one for it.
+  double m_MaxKeysPerUpstream = 8;
   /// No key moves to an upstream with a larger risk of late answers: while all
   /// are short of room, moves only have keys evicted.
   double m_MaxMoveTargetRisk = 0.1;
@@ -58,6 +61,34 @@
   unsigned m_MaxColdSenders = 6;
 };
 
+/// \brief How a selection judged an upstream.
+enum class Verdict : std::uint8_t {
+  NotNeeded, ///< One that goes before it was selected.
+  Selected,
+  Excluded,          ///< See UpstreamTable::exclusion().
+  Tried,             ///< In an earlier attempt.
+  RegionNotAllowed,  ///< By the route or the customer.
+  RateLimited,       ///< At the rate limit that it named.
+  OutsideKeyRegions, ///< The request may not overflow.
+  Ejected,           ///< After failures.
+  TooLate,           ///< Can't answer in time.
+  BusyNonHolder,     ///< Doesn't hold the key, and isn't idle enough for it.
+  NoFreeSlot,        ///< Cold or slow.
+  ColdRate,          ///< Cold; its rate allows no request now.
+};
+
+/// \brief Is told how a selection judges each upstream. Requests have none.
+class ChoiceObserver {
+public:
+  virtual ~ChoiceObserver() = default;
+  /// \brief Called for each candidate, in order of preference.
+  /// \param Expected Time to an answer.
+  virtual void ranked(const Upstream &Candidate, Duration Expected) = 0;
+  /// \brief The last verdict on an upstream counts. A candidate without one
+  /// wasn't needed.
+  virtual void judged(const Upstream &Target, Verdict Result) = 0;
+};
+
 /// \brief All inputs of one selection.
 struct ChoiceInput {
   const Route &m_Route;
@@ -83,10 +114,12 @@
   /// has an equal part.
   double (*m_SenderFraction)(const void *Fleet, const Upstream &Target,
                              unsigned MaxSenders, TimePoint Now) = nullptr;
+  const void *m_Fleet = nullptr; ///< First argument of m_SenderFraction.
   /// Null if keys are placed by rank alone.
   const KeyPlacement *m_Placement = nullptr;
+  PlacementKey m_PlacementKey = NoPlacementKey;
   ProcessingTimes m_ProcessingTimes;
-  const void *m_Fleet = nullptr; ///< First argument of m_SenderFraction.
+  ChoiceObserver *m_Observer = nullptr; ///< Null on the request path.
 
   /// \brief Whether upstreams of \p Region may get the request: the regions of
   /// the route and of the customer both bind.
@@ -128,6 +161,8 @@
 /// \brief Prefers the holders of the key, which lie in the own region for a
 /// stable share of the keys; then any upstream with low load. Refuses
 /// immediately if no upstream is expected to answer within the target latency.
+/// An upload goes to any upstream of the own region first that can answer in
+/// time.
 [[nodiscard]] Choice chooseByKeyLocalFirst(const ChoiceInput &Input,
                                            const UpstreamTable &Table,
                                            const Placement &Local,
--- a/src/steer/local_share.h
+++ b/src/steer/local_share.h
@@ -65,6 +65,9 @@
   /// Whether it is the result of steps under load. Only such shares are sent to
   /// the VMs of the own region.
   bool m_IsAdjusted = false;
+
+  friend bool operator==(const LocalShareState &,
+                         const LocalShareState &) = default;
 };
 
 /// \brief Controls, for each service, the share of the keys of the own region's
@@ -118,6 +121,8 @@
       Visit(Service, static_cast<const LocalShareState &>(Entry));
   }
 
+  friend bool operator==(const LocalShares &, const LocalShares &) = default;
+
 private:
   /// \brief Requests whose keys are assigned to one side, with exponential
   /// decay.
@@ -126,6 +131,8 @@
     double m_Refused = 0;
     [[nodiscard]] double servedFraction() const;
     void decay();
+
+    friend bool operator==(const Assigned &, const Assigned &) = default;
   };
 
   struct Share : LocalShareState {
@@ -142,6 +149,8 @@
     double m_OverflowTokens = 0;  ///< Overflows that are allowed now.
     Assigned m_LocalKeys;
     Assigned m_RemoteKeys;
+
+    friend bool operator==(const Share &, const Share &) = default;
   };
 
   static void recordSlots(Share &Current, unsigned Local, unsigned Total,
