Benchmark of the time of one choice

Prints the median, the 99th percentile and the mean processor time of chooseByKeyLocalFirst() among 340 upstreams of 3 services, with free and with nearly full upstreams, as seen from a large and a small region.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
   libboost-log-dev libboost-test-dev libdocopt-dev libxxhash-dev \
   libpcg-cpp-dev libsodium-dev librapidcheck-dev nlohmann-json3-dev
 
-.PHONY: demo test proof install build sweep measure capacity load soak format lint proto
+.PHONY: demo test proof install build sweep measure capacity load decisions soak format lint proto
 
 # Installs packages, builds, and runs calls through two entry VMs on loopback.
 demo: build
@@ -43,6 +43,10 @@
 load: build
 	build/load
 
+# Prints the time of one selection of an upstream among 340.
+decisions: build
+	build/decision-bench
+
 # Runs real processes under random faults: SOAK seeds, starting with FIRST.
 SOAK ?= 50
 FIRST ?= 1
