Soak: customers, keys, uploads and quotas

--customers gives the configuration customers with keys, a public route and an upload route. Callers send valid, unknown, withdrawn and malformed keys, pipelined and on open connections, while new configurations take keys away and add others under the other faults.

Each check has a unit test with a made-up violation.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -27,15 +27,25 @@
 /// idle timeout.
 constexpr unsigned MaxIdleMs = 3200;
 
+constexpr unsigned MaxCustomerRounds = 200; ///< Per connection, with keys.
+/// Above the size from which a VM streams bodies.
+constexpr unsigned MinUploadBytes = 17 << 10;
+constexpr unsigned MaxUploadBytes = 80 << 10;
+/// Between the halves of an upload.
+constexpr Duration UploadPause = 30ms;
+
 struct RequestTemplate {
   const char *m_RequestLine;
-  const char *m_Body; ///< Empty: none.
+  const char *m_Body; ///< Empty: none, or drawn.
+  bool m_Idempotent;
 };
 constexpr RequestTemplate RequestTemplates[] = {
-    {"GET /read/x HTTP/1.1\r\n", ""},
-    {"POST /order/x HTTP/1.1\r\n", "hopper"},
-    {"GET /edition/x HTTP/1.1\r\n", ""},
-    {"GET /read/crash HTTP/1.1\r\n", ""}};
+    {"GET /read/x HTTP/1.1\r\n", "", true},
+    {"POST /order/x HTTP/1.1\r\n", "hopper", false},
+    {"GET /edition/x HTTP/1.1\r\n", "", true},
+    {"GET /read/crash HTTP/1.1\r\n", "", true},
+    {"GET /public/x HTTP/1.1\r\n", "", true},
+    {"POST /upload/x HTTP/1.1\r\n", "", false}};
 
 RequestKind randomKind(Random &Rng) {
   unsigned Drawn = Rng(10);
@@ -44,6 +54,27 @@
                      : RequestKind::Edition;
 }
 
+RequestKind randomCustomerKind(Random &Rng) {
+  constexpr RequestKind Kinds[] = {
+      RequestKind::Read,   RequestKind::Read,   RequestKind::Read,
+      RequestKind::Order,  RequestKind::Order,  RequestKind::Edition,
+      RequestKind::Public, RequestKind::Upload, RequestKind::Upload};
+  return Kinds[Rng(std::uint32_t(std::size(Kinds)))];
+}
+
+std::string keyField(const std::string &Key) {
+  return "Authorization: Token " + Key + "\r\n";
+}
+
+/// \brief A body in which each part differs from the others.
+std::string drawUpload(Random &Rng) {
+  std::size_t Bytes = MinUploadBytes + Rng(MaxUploadBytes - MinUploadBytes);
+  std::string Result;
+  while (Result.size() < Bytes)
+    Result += std::to_string(Rng()) + " " + std::to_string(Result.size());
+  return Result;
+}
+
 } // namespace
 
 /// \brief One connection and its unparsed input.
@@ -58,6 +89,7 @@
   unsigned m_Vm;
   Duration m_RetryAfter{};  ///< Of the last refusal.
   TimePoint m_AnsweredAt{}; ///< Of the last answer; zero before the first.
+  RequestPlan m_LastPlan;   ///< Whose key is usually sent again.
 };
 
 Callers::Callers(asio::io_context &Io, Observations &Observed,
@@ -121,18 +153,19 @@
     co_await sleepFor(m_Io, MaxRetryDelay);
     co_return;
   }
-  unsigned Rounds = 1 + Rng(MaxRounds);
+  unsigned Rounds = 1 + Rng(hasCustomers() ? MaxCustomerRounds : MaxRounds);
   for (unsigned Round = 0; Round < Rounds && !m_Stopping; ++Round) {
     if (peek(Connection.m_Socket) != PeekResult::Nothing)
       co_return; // Closed while idle.
     if (Rng(40) == 0) {
-      co_await abandonRequest(Connection, randomKind(Rng));
+      co_await abandonRequest(Connection, planRequest(Connection, Rng));
       co_return;
     }
-    std::vector<RequestKind> Kinds{randomKind(Rng)};
-    if (Kinds[0] != RequestKind::Order && Rng(4) == 0)
-      Kinds.push_back(randomKind(Rng)); // Sent before the first is answered.
-    if (!co_await sendAndReceive(Connection, std::move(Kinds)))
+    std::vector<RequestPlan> Plans(1, planRequest(Connection, Rng));
+    if (RequestTemplates[std::size_t(Plans[0].m_Kind)].m_Idempotent &&
+        Rng(4) == 0) // Sent before the first is answered.
+      Plans.push_back(planRequest(Connection, Rng));
+    if (!co_await sendAndReceive(Connection, std::move(Plans)))
       break;
     // A few connections stay idle for long.
     Duration Pause = Rng(Rng(30) == 0 ? MaxIdleMs : MaxPauseMs) * 1ms;
@@ -142,12 +175,62 @@
     co_await sleepFor(m_Io, std::min(Connection.m_RetryAfter, MaxRetryDelay));
 }
 
+RequestPlan Callers::planRequest(Session &Connection, Random &Rng) const {
+  if (!hasCustomers())
+    return {randomKind(Rng)};
+  RequestPlan &Last = Connection.m_LastPlan;
+  if (Last.m_Fields.empty() || Rng(4) == 0)
+    drawKey(Last, Rng);
+  RequestPlan Result = Last;
+  Result.m_Kind = randomCustomerKind(Rng);
+  if (Result.m_Kind == RequestKind::Upload)
+    Result.m_Body = drawUpload(Rng);
+  if (Rng(4) == 0) {
+    const std::vector<KeyPeriod> &All = m_Observed.m_KeyPeriods;
+    Result.m_Fields +=
+        "X-Tenant-Id: " + All[Rng(std::uint32_t(All.size()))].m_Customer +
+        "\r\n";
+  }
+  return Result;
+}
+
+void Callers::drawKey(RequestPlan &Plan, Random &Rng) const {
+  // Most keys are valid ones.
+  constexpr unsigned MaxDraws = 8;
+  const std::vector<KeyPeriod> &All = m_Observed.m_KeyPeriods;
+  const KeyPeriod *Drawn = nullptr;
+  for (unsigned I = 0; I < MaxDraws; ++I) {
+    Drawn = &All[Rng(std::uint32_t(All.size()))];
+    if (Drawn->m_Until == TimePoint::max() || Rng(4) == 0)
+      break;
+  }
+  Plan.m_Key = Drawn->m_Key;
+  Plan.m_Fields = keyField(Plan.m_Key);
+  unsigned Form = Rng(20);
+  if (Form == 0) {
+    Plan.m_Key += "x"; // Unknown.
+    Plan.m_Fields = keyField(Plan.m_Key);
+  }
+  const std::string Malformed[] = {"", "Authorization: Token\r\n",
+                                   "Authorization: Basic " + Plan.m_Key +
+                                       "\r\n",
+                                   Plan.m_Fields + Plan.m_Fields};
+  if (Form == 1 || Form == 2) {
+    Plan.m_Key.clear();
+    Plan.m_Fields = Malformed[Rng(std::uint32_t(std::size(Malformed)))];
+  }
+}
+
 std::size_t Callers::recordAttempt(const Session &Connection,
-                                   RequestKind Kind) {
+                                   const RequestPlan &Plan) {
   Attempt Added;
   Added.m_Id = "s" + std::to_string(m_Seed) + "-" +
                std::to_string(m_Observed.m_Attempts.size());
-  Added.m_Idempotent = Kind != RequestKind::Order;
+  Added.m_Idempotent = RequestTemplates[std::size_t(Plan.m_Kind)].m_Idempotent;
+  Added.m_Key = Plan.m_Key;
+  Added.m_IsPublic = Plan.m_Kind == RequestKind::Public;
+  if (!Plan.m_Body.empty())
+    Added.m_BodyHash = stableHash(Plan.m_Body);
   Added.m_Vm = Connection.m_Vm;
   Added.m_SentAt = steadyNow();
   if (Connection.m_AnsweredAt != TimePoint())
@@ -156,15 +239,16 @@
   return m_Observed.m_Attempts.size() - 1;
 }
 
-std::string Callers::requestText(std::size_t Index, RequestKind Kind) const {
-  const RequestTemplate &Template = RequestTemplates[std::size_t(Kind)];
-  std::string Body = Template.m_Body;
+std::string Callers::requestText(std::size_t Index,
+                                 const RequestPlan &Plan) const {
+  const RequestTemplate &Template = RequestTemplates[std::size_t(Plan.m_Kind)];
+  std::string Body = Plan.m_Body.empty() ? Template.m_Body : Plan.m_Body;
   // All copies of a crashing request are equal but for their identifiers.
-  std::size_t Key = Kind == RequestKind::Crashing ? 0 : Index % KeyCount;
+  std::size_t Key = Plan.m_Kind == RequestKind::Crashing ? 0 : Index % KeyCount;
   return Template.m_RequestLine +
          std::string("Host: soak.example\r\nX-Request-Id: ") +
          m_Observed.m_Attempts[Index].m_Id +
-         "\r\nX-Affinity-Key: " + std::to_string(Key) + "\r\n" +
+         "\r\nX-Affinity-Key: " + std::to_string(Key) + "\r\n" + Plan.m_Fields +
          (Body.empty()
               ? ""
               : "Content-Length: " + std::to_string(Body.size()) + "\r\n") +
@@ -177,16 +261,22 @@
 }
 
 awaitable<bool> Callers::sendAndReceive(Session &Connection,
-                                        std::vector<RequestKind> Kinds) {
+                                        std::vector<RequestPlan> Plans) {
   std::vector<std::size_t> Sent;
   std::string Out;
-  for (RequestKind Kind : Kinds) {
-    Sent.push_back(recordAttempt(Connection, Kind));
-    Out += requestText(Sent.back(), Kind);
+  for (const RequestPlan &Plan : Plans) {
+    Sent.push_back(recordAttempt(Connection, Plan));
+    Out += requestText(Sent.back(), Plan);
   }
   NetError Error;
-  co_await asio::async_write(Connection.m_Socket, asio::buffer(Out),
+  std::size_t Half = Out.size() - Plans.back().m_Body.size() / 2;
+  co_await asio::async_write(Connection.m_Socket, asio::buffer(Out, Half),
                              noThrow(Error));
+  if (Half < Out.size()) {
+    co_await sleepFor(m_Io, UploadPause);
+    co_await asio::async_write(Connection.m_Socket, asio::buffer(Out) + Half,
+                               noThrow(Error));
+  }
   for (std::size_t I = 0; I < Sent.size(); ++I) {
     if (!co_await readAnswer(Connection, Sent[I])) {
       for (; I < Sent.size(); ++I)
@@ -202,9 +292,9 @@
   co_return true;
 }
 
-awaitable<void> Callers::abandonRequest(Session &Connection, RequestKind Kind) {
-  std::size_t Index = recordAttempt(Connection, Kind);
-  std::string Out = requestText(Index, Kind);
+awaitable<void> Callers::abandonRequest(Session &Connection, RequestPlan Plan) {
+  std::size_t Index = recordAttempt(Connection, Plan);
+  std::string Out = requestText(Index, Plan);
   NetError Ignored;
   co_await asio::async_write(Connection.m_Socket, asio::buffer(Out),
                              noThrow(Ignored));
@@ -252,8 +342,15 @@
   if (Error)
     co_return 0;
   std::size_t Index = m_Observed.m_Attempts.size();
-  std::vector<RequestKind> Kinds{Kind};
-  co_await sendAndReceive(Connection, std::move(Kinds));
+  RequestPlan Plan;
+  Plan.m_Kind = Kind;
+  if (hasCustomers()) { // The first key stays valid.
+    Plan.m_Key = m_Observed.m_KeyPeriods.front().m_Key;
+    Plan.m_Fields = keyField(Plan.m_Key);
+  }
+  if (Kind == RequestKind::Upload)
+    Plan.m_Body.assign(MinUploadBytes, 'u');
+  co_await sendAndReceive(Connection, std::vector<RequestPlan>(1, Plan));
   co_return m_Observed.m_Attempts[Index].m_Status;
 }
 
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -26,6 +26,16 @@
   Order,
   Edition,
   Crashing, ///< Ends each upstream that begins to run it.
+  Public,   ///< Needs no key.
+  Upload,
+};
+
+/// \brief What a caller decides on a request before it is sent.
+struct RequestPlan {
+  RequestKind m_Kind = RequestKind::Read;
+  std::string m_Key;    ///< See Attempt::m_Key.
+  std::string m_Fields; ///< Further header lines with their line ends.
+  std::string m_Body = {};
 };
 
 /// \brief Concurrent callers, each with its own connections.
@@ -56,13 +66,21 @@
   /// \brief Sends requests and reads their answers in order.
   /// \returns Whether the connection stays open.
   steer::awaitable<bool> sendAndReceive(Session &Connection,
-                                        std::vector<RequestKind> Kinds);
-  steer::awaitable<void> abandonRequest(Session &Connection, RequestKind Kind);
+                                        std::vector<RequestPlan> Plans);
+  steer::awaitable<void> abandonRequest(Session &Connection, RequestPlan Plan);
+  /// \brief Whether the configuration has customers.
+  [[nodiscard]] bool hasCustomers() const {
+    return !m_Observed.m_KeyPeriods.empty();
+  }
+  /// \brief Draws a request, and now and then another key for \p Connection.
+  [[nodiscard]] RequestPlan planRequest(Session &Connection, Random &Rng) const;
+  /// \brief Draws a valid, unknown, withdrawn or malformed key, or none.
+  void drawKey(RequestPlan &Plan, Random &Rng) const;
   steer::awaitable<bool> readAnswer(Session &Connection, std::size_t Index);
   [[nodiscard]] std::size_t recordAttempt(const Session &Connection,
-                                          RequestKind Kind);
+                                          const RequestPlan &Plan);
   [[nodiscard]] std::string requestText(std::size_t Index,
-                                        RequestKind Kind) const;
+                                        const RequestPlan &Plan) const;
   void recordOutcome(std::size_t Index, AttemptOutcome Outcome);
 
   steer::asio::io_context &m_Io;
--- /dev/null
+++ b/tests/soak/customer_checks.cpp
@@ -0,0 +1,124 @@
+/// \file
+/// Invariants on keys, customers' names, request bodies and quotas.
+#include "soak/observations.h"
+
+#include <algorithm>
+
+namespace mustardspoke::soak {
+
+bool Observations::hasCurrentKeys(unsigned Vm, TimePoint From, TimePoint To,
+                                  const InvariantLimits &Limits) const {
+  const VmHistory &History = m_Vms.at(Vm);
+  From -= Limits.m_KeyDelay + Limits.m_KeySettleTime;
+  return !overlaps(History.m_Paused, From, To) &&
+         !overlaps(History.m_StoreCut, From, To) &&
+         !anyWithin(History.m_Killed, From, To) &&
+         !anyWithin(History.m_Stopped, From, To) &&
+         !anyWithin(History.m_Ended, From, To) &&
+         !anyWithin(History.m_Started, From, To);
+}
+
+void Observations::checkCustomers(const InvariantLimits &Limits,
+                                  Messages &Violations) const {
+  for (const Attempt &Entry : m_Attempts) {
+    if (!m_KeyPeriods.empty())
+      checkKeyRefusal(Entry, Limits, Violations);
+    auto Found = m_Executions.find(Entry.m_Id);
+    if (Found == m_Executions.end())
+      continue;
+    for (const Execution &Executed : Found->second) {
+      if (Entry.m_BodyHash != 0 && Executed.m_BodyHash != Entry.m_BodyHash)
+        Violations.push_back(
+            message(Entry, "its body wasn't whole at " + Executed.m_Upstream));
+      if (!m_KeyPeriods.empty())
+        checkCustomer(Entry, Executed, Limits, Violations);
+    }
+  }
+}
+
+void Observations::checkKeyRefusal(const Attempt &Entry,
+                                   const InvariantLimits &Limits,
+                                   Messages &Violations) const {
+  if (Entry.m_Outcome != AttemptOutcome::Answered || Entry.m_Status != 401)
+    return;
+  if (Entry.m_IsPublic)
+    Violations.push_back(message(Entry, "refused on a public route"));
+  bool IsValid = std::ranges::any_of(m_KeyPeriods, [&](const KeyPeriod &Known) {
+    return Known.m_Key == Entry.m_Key &&
+           Known.m_From <= Entry.m_SentAt - Limits.m_KeyDelay &&
+           Known.m_Until >= Entry.m_EndedAt;
+  });
+  if (IsValid &&
+      hasCurrentKeys(Entry.m_Vm, Entry.m_SentAt, Entry.m_EndedAt, Limits))
+    Violations.push_back(message(Entry, "a valid key was refused"));
+}
+
+void Observations::checkCustomer(const Attempt &Entry,
+                                 const Execution &Executed,
+                                 const InvariantLimits &Limits,
+                                 Messages &Violations) const {
+  if (Executed.m_SawKey)
+    Violations.push_back(
+        message(Entry, "its key reached " + Executed.m_Upstream));
+  if (Executed.m_Customer.empty()) {
+    if (!Entry.m_IsPublic)
+      Violations.push_back(message(Entry, "ran without a customer"));
+    return;
+  }
+  bool WasListed = false;
+  TimePoint Until{};
+  for (const KeyPeriod &Known : m_KeyPeriods) {
+    if (Known.m_Key != Entry.m_Key || Known.m_Customer != Executed.m_Customer ||
+        Known.m_From > Executed.m_StartedAt)
+      continue;
+    WasListed = true;
+    Until = std::max(Until, Known.m_Until);
+  }
+  if (!WasListed) {
+    Violations.push_back(message(Entry, "ran in the name of " +
+                                            Executed.m_Customer +
+                                            ", whose key it didn't carry"));
+    return;
+  }
+  // A request may be held up on its way to the upstream.
+  if (Executed.m_StartedAt > Until &&
+      Executed.m_StartedAt - Until > Limits.m_KeyDelay &&
+      hasCurrentKeys(Entry.m_Vm, Executed.m_StartedAt, Executed.m_StartedAt,
+                     Limits) &&
+      !overlaps(m_LinkDisruptions, Entry.m_SentAt, Executed.m_StartedAt))
+    Violations.push_back(message(
+        Entry, "ran for " + Executed.m_Customer + " " +
+                   std::to_string(toMillis(Executed.m_StartedAt - Until)) +
+                   " ms after its key was taken away"));
+}
+
+void Observations::checkQuotas(const InvariantLimits &Limits,
+                               Messages &Violations) const {
+  for (const QuotaLimit &Quota : m_Quotas) {
+    std::vector<TimePoint> Runs;
+    for (const auto &[Id, Executions] : m_Executions)
+      for (const Execution &Executed : Executions)
+        if (Executed.m_Customer == Quota.m_Customer)
+          Runs.push_back(Executed.m_StartedAt);
+    std::ranges::sort(Runs);
+    double Seconds = double(toMillis(Limits.m_QuotaWindow)) / 1000;
+    double Allowed = (Quota.m_RequestsPerSecond * Seconds + Quota.m_Burst) *
+                         Limits.m_QuotaTolerance +
+                     Limits.m_QuotaSlack;
+    std::size_t Most = 0;
+    std::size_t First = 0;
+    for (std::size_t I = 0; I < Runs.size(); ++I) {
+      while (Runs[I] - Runs[First] >= Limits.m_QuotaWindow)
+        ++First;
+      Most = std::max(Most, I + 1 - First);
+    }
+    if (double(Most) > Allowed)
+      Violations.push_back(Quota.m_Customer + ": " + std::to_string(Most) +
+                           " requests ran within " +
+                           std::to_string(toMillis(Limits.m_QuotaWindow)) +
+                           " ms, its quota allows " +
+                           std::to_string(int(Allowed)));
+  }
+}
+
+} // namespace mustardspoke::soak
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -75,19 +75,29 @@
     }
     return Result;
   }();
-  return Set == FaultSet::Drills ? WithDrills
-         : Set == FaultSet::Cuts ? WithCuts
-                                 : All;
+  static const std::vector<Kind> WithFewCuts = [] {
+    std::vector<Kind> Result = All;
+    Result.push_back({"cut-vm", &FaultInjector::cutVm});
+    Result.push_back({"cut-domain", &FaultInjector::cutDomain});
+    return Result;
+  }();
+  return Set == FaultSet::Drills      ? WithDrills
+         : Set == FaultSet::Cuts      ? WithCuts
+         : Set == FaultSet::Customers ? WithFewCuts
+                                      : All;
 }
 
 void FaultInjector::start(Duration Length) {
   m_Start = steadyNow();
+  m_Length = Length;
   auto Play = [this](Done (FaultInjector::*Series)()) {
     ++m_ActiveFaults;
     test::spawn(m_Io, [this, Series]() { return (this->*Series)(); });
   };
   if (!m_Deployment.plan().m_ProductionBinary.empty())
     Play(&FaultInjector::playUpgrades);
+  if (m_Set == FaultSet::Customers)
+    Play(&FaultInjector::playKeyChanges);
   if (m_Set == FaultSet::CutSeries)
     return Play(&FaultInjector::playCutSeries);
   if (m_Set == FaultSet::Departures)
@@ -281,6 +291,15 @@
   co_return;
 }
 
+FaultInjector::Done FaultInjector::playKeyChanges() {
+  while (steadyNow() < m_Start + m_Length) {
+    co_await randomDelay(200ms, 1s);
+    log("change-keys");
+    m_Deployment.changeKeys(m_Rng);
+  }
+  --m_ActiveFaults;
+}
+
 FaultInjector::Done FaultInjector::evacuateDomain() {
   std::string Domain = LocalDeployment::failureDomains()[m_Rng(
       std::uint32_t(LocalDeployment::failureDomains().size()))];
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -16,6 +16,7 @@
   Cuts,      ///< Also VMs that lose their links to all upstreams.
   CutSeries, ///< Nothing but cuts in a fixed order, of VMs that the seed draws.
   Floods,    ///< Nothing but bytes without end, and answers that aren't read.
+  Customers, ///< Also cuts, and configurations that change customers' keys.
   Departures, ///< Nothing but upstreams that leave while requests are held
               ///< back on the way to them.
 };
@@ -63,6 +64,7 @@
   Done corruptAnswers();
   Done disturbUpstreamLink();
   Done changeEdition();
+  Done playKeyChanges();
   Done evacuateDomain();
   Done bringBackOlderStore();
   Done quietUpstream();
@@ -97,6 +99,7 @@
   FaultSet m_Set = FaultSet::Basic;
   bool m_StoreDrillRunning = false;
   TimePoint m_Start;
+  Duration m_Length{}; ///< Of the time in which faults begin.
   unsigned m_ActiveFaults = 0;
   std::vector<std::string> m_Timeline;
 };
--- a/tests/soak/local_deployment.cpp
+++ b/tests/soak/local_deployment.cpp
@@ -2,8 +2,6 @@
 /// Addresses, settings, configuration and processes of the soak's deployment.
 #include "soak/local_deployment.h"
 
-#include "json/json.h"
-
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -62,6 +60,17 @@
   return Result;
 }
 
+const char *const Customers[] = {"heron", "ibis", "jay", "kestrel"};
+/// Customers of the first keys; the first has two.
+constexpr unsigned FirstKeys[] = {0, 1, 0, 2, 3};
+/// Keys that are never taken away: one that always works, and one of the
+/// customer with a quota.
+constexpr unsigned SparedKeys = 2;
+constexpr unsigned LimitedCustomer = 1;
+constexpr double QuotaRate =
+    10; ///< Requests per second; less than callers send.
+constexpr double QuotaBurst = 10;
+
 Json clusterJson(const std::string &Name) {
   Json Result = Json::object();
   Result.set("name", Json(Name)).set("healthPath", Json("/health"));
@@ -90,6 +99,12 @@
     addUpstream("orders-" + std::to_string(I), "orders");
   for (unsigned I = 1; I <= m_Plan.m_MaxEditions; ++I)
     addUpstream("e" + std::to_string(I), "edition-" + std::to_string(I));
+  if (m_Plan.m_HasCustomers)
+    for (unsigned Customer : FirstKeys)
+      addKey(Customers[Customer], {});
+  if (m_Plan.m_HasQuota)
+    m_Observed.m_Quotas.push_back(
+        {Customers[LimitedCustomer], QuotaRate, QuotaBurst});
   nextEdition();
   for (unsigned I = 0; I < m_Plan.m_Vms; ++I) {
     m_StoreLinks.emplace_back(Io, address(StoreLinkGroup, I, StorePort),
@@ -293,12 +308,59 @@
   writeConfiguration();
 }
 
+void LocalDeployment::addKey(const std::string &Customer, TimePoint From) {
+  m_Observed.m_KeyPeriods.push_back(
+      {KeyMarker + std::to_string(++m_Keys), Customer, From});
+}
+
+void LocalDeployment::changeKeys(Random &Rng) {
+  std::vector<KeyPeriod> &All = m_Observed.m_KeyPeriods;
+  std::vector<std::size_t> Listed;
+  for (std::size_t I = SparedKeys; I < All.size(); ++I)
+    if (All[I].m_Until == TimePoint::max())
+      Listed.push_back(I);
+  TimePoint Now = steadyNow();
+  KeyPeriod &Taken = All[Listed[Rng(std::uint32_t(Listed.size()))]];
+  Taken.m_Until = Now;
+  std::string Receiver = Customers[Rng(std::uint32_t(std::size(Customers)))];
+  if (Rng(3) == 0 && Receiver != Taken.m_Customer)
+    All.push_back({std::string(Taken.m_Key), Receiver, Now});
+  else
+    addKey(Receiver, Now);
+  ++m_Version;
+  writeConfiguration();
+}
+
+Json LocalDeployment::customersJson() const {
+  Json Result = Json::array();
+  for (std::string Name : Customers) {
+    Json Keys = Json::array();
+    for (const KeyPeriod &Known : m_Observed.m_KeyPeriods)
+      if (Known.m_Customer == Name && Known.m_Until == TimePoint::max())
+        Keys.push(Json(Known.m_Key));
+    Json Entry = Json::object();
+    Entry.set("name", Json(Name)).set("apiKeys", std::move(Keys));
+    for (const QuotaLimit &Quota : m_Observed.m_Quotas)
+      if (Quota.m_Customer == Name)
+        Entry.set("ratePerS", Json(Quota.m_RequestsPerSecond))
+            .set("burst", Json(Quota.m_Burst));
+    Result.push(std::move(Entry));
+  }
+  return Result;
+}
+
 void LocalDeployment::writeConfiguration() {
   std::string Edition = "edition-" + std::to_string(m_Edition);
   Json Rules = Json::array();
   Rules.push(ruleJson("read", "safe", "stock", "2s", 3));
   Rules.push(ruleJson("order", "unsafe", "orders", "3s", 2));
   Rules.push(ruleJson("edition", "safe", Edition, "2s", 2));
+  if (m_Plan.m_HasCustomers) {
+    Json Public = ruleJson("public", "safe", "stock", "2s", 3);
+    Public.set("public", Json(true));
+    Rules.push(std::move(Public));
+    Rules.push(ruleJson("upload", "upload", "orders", "3s", 2));
+  }
   Json Host = Json::object();
   Host.set("host", Json("soak.example")).set("rules", std::move(Rules));
   Json Hosts = Json::array();
@@ -314,6 +376,8 @@
   All.set("version", Json("r" + std::to_string(m_Version)));
   All.set("limits", std::move(Limits)).set("listeners", std::move(Hosts));
   All.set("clusters", std::move(Clusters));
+  if (m_Plan.m_HasCustomers)
+    All.set("tenants", customersJson());
   m_Table.put("op", "config", All.toText());
 }
 
@@ -360,6 +424,9 @@
   bool AnyLink = std::ranges::find(m_StoreLinkDisturbed, true) !=
                  m_StoreLinkDisturbed.end();
   recordDisruption(m_Observed.m_StoreDisruptions, m_StoreDisturbed || AnyLink);
+  for (unsigned I = 0; I < m_Plan.m_Vms; ++I)
+    recordDisruption(m_Observed.m_Vms[I].m_StoreCut,
+                     m_StoreDisturbed || m_StoreLinkDisturbed[I]);
 }
 
 void LocalDeployment::setStoreMode(TableMode Mode) {
--- a/tests/soak/local_deployment.h
+++ b/tests/soak/local_deployment.h
@@ -10,6 +10,7 @@
 #include "soak/link_proxy.h"
 #include "soak/upstream_standin.h"
 #include "support/process.h"
+#include "json/json.h"
 
 #include <deque>
 #include <memory>
@@ -29,6 +30,8 @@
   unsigned m_StockUpstreams = 6; ///< For idempotent requests.
   unsigned m_OrderUpstreams = 4; ///< For requests that must run at most once.
   unsigned m_MaxEditions = 12;   ///< Maximum number of configurations.
+  bool m_HasCustomers = false;   ///< Callers need keys.
+  bool m_HasQuota = false;       ///< One of the customers has.
   std::uint64_t m_Seed = 1;
 };
 
@@ -62,6 +65,9 @@
 
   // The operator.
   void nextEdition();
+  /// \brief Takes a key away from a customer, and gives it, or a new one, to
+  /// another.
+  void changeKeys(Random &Rng);
   void evacuate(const std::string &Domain);
   void cancelEvacuation(const std::string &Domain);
 
@@ -112,6 +118,9 @@
   void addUpstream(const std::string &Id, const std::string &Service);
   steer::awaitable<void> restartUpstreamLater(unsigned Upstream);
   void writeConfiguration();
+  /// \brief Makes a key that is listed from \p From on.
+  void addKey(const std::string &Customer, TimePoint From);
+  [[nodiscard]] Json customersJson() const;
   void recordWithdrawal(Withdrawal::Kind Kind, const std::string &Target);
   void recordReturn(Withdrawal::Kind Kind, const std::string &Target);
   /// \brief Begins a disruption, or ends the current one.
@@ -131,6 +140,7 @@
   std::vector<bool> m_UpstreamLinkDisturbed;
   bool m_StoreDisturbed = false;
   unsigned m_Edition = 0;
+  unsigned m_Keys = 0;    ///< Number of keys made so far.
   unsigned m_Version = 0; ///< Of the configuration; increases in uneven steps.
   std::vector<std::string> m_EvacuatedDomains;
 };
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -11,6 +11,14 @@
 /// Processes are polled; their end may be this much earlier than noticed.
 constexpr Duration ProcessPollDelay = 60ms;
 
+/// \brief Whether the status promises that the request was not executed.
+bool meansNotRun(unsigned Status) {
+  return Status == 401 || Status == 408 || Status == 421 || Status == 429 ||
+         Status == 503;
+}
+
+} // namespace
+
 bool overlaps(const std::vector<Disruption> &Disruptions, TimePoint From,
               TimePoint To) {
   return std::ranges::any_of(Disruptions, [&](const Disruption &Entry) {
@@ -29,13 +37,6 @@
          std::to_string(Entry.m_Status) + "): " + Text;
 }
 
-/// \brief Whether the status promises that the request was not executed.
-bool meansNotRun(unsigned Status) {
-  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
-}
-
-} // namespace
-
 unsigned Observations::executionCount(const std::string &Id) const {
   auto Found = m_Executions.find(Id);
   return Found == m_Executions.end() ? 0 : unsigned(Found->second.size());
@@ -66,6 +67,9 @@
   checkCrashingRequest(Limits, Result);
   checkRetries(Limits, Result);
   checkCuts(Limits, Result);
+  checkCustomers(Limits, Result);
+  if (Limits.m_CheckQuota)
+    checkQuotas(Limits, Result);
   if (Limits.m_CheckTiming)
     checkWithdrawals(Limits, Result);
   if (Limits.m_CheckTiming || Limits.m_CheckLateRuns)
@@ -195,7 +199,9 @@
       Tally AtCutVm;
       Tally AtOthers;
       for (const Attempt &Entry : m_Attempts) {
-        bool Counts = Entry.m_Outcome == AttemptOutcome::Answered ||
+        // Refusals for a key have nothing to do with the cut.
+        bool Counts = (Entry.m_Outcome == AttemptOutcome::Answered &&
+                       Entry.m_Status != 401) ||
                       Entry.m_Outcome == AttemptOutcome::ConnectionLost;
         const VmHistory &Asked = m_Vms.at(Entry.m_Vm);
         if (!Counts || Entry.m_SentAt < From || Entry.m_EndedAt > Cut.m_End ||
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -16,6 +16,28 @@
   TimePoint m_StartedAt{};
   std::string m_Service;
   std::string m_Upstream;
+  std::string m_Customer;       ///< As the VM named it; empty: none.
+  bool m_SawKey = false;        ///< It got the caller's key.
+  std::uint64_t m_BodyHash = 0; ///< Of the request.
+};
+
+/// Part of every key that callers send, also of unknown ones. It must not
+/// appear in what upstreams get, nor in logs.
+inline constexpr const char *KeyMarker = "soakkey-";
+
+/// \brief The time for which a configuration in the store lists a key.
+struct KeyPeriod {
+  std::string m_Key;
+  std::string m_Customer;
+  TimePoint m_From{};
+  TimePoint m_Until = TimePoint::max(); ///< max(): it is still listed.
+};
+
+/// \brief The limit on a customer's requests that the configuration has.
+struct QuotaLimit {
+  std::string m_Customer;
+  double m_RequestsPerSecond = 0;
+  double m_Burst = 0;
 };
 
 /// \brief How a caller's attempt ended.
@@ -40,6 +62,9 @@
   AttemptOutcome m_Outcome = AttemptOutcome::Pending;
   unsigned m_Status = 0;
   std::string m_Body;
+  std::string m_Key;            ///< That it carries; empty: none, or malformed.
+  bool m_IsPublic = false;      ///< Its route needs no key.
+  std::uint64_t m_BodyHash = 0; ///< Of the request; 0: not known.
 };
 
 /// \brief A time span in which something was disturbed.
@@ -51,7 +76,8 @@
 /// \brief Events of one VM's process.
 struct VmHistory {
   std::vector<Disruption> m_Paused;
-  std::vector<Disruption> m_Cut; ///< From all upstreams.
+  std::vector<Disruption> m_Cut;      ///< From all upstreams.
+  std::vector<Disruption> m_StoreCut; ///< From the store.
   std::vector<TimePoint> m_Killed;
   std::vector<TimePoint> m_Stopped; ///< When the stop signal was sent.
   std::vector<TimePoint> m_Started;
@@ -94,11 +120,29 @@
   /// ... or no more than this many, and this part of all, fail there.
   double m_CutFailures = 10;
   double m_CutFailureFraction = 1.0 / 50;
+  /// From the write of a configuration until no VM uses a key any more that it
+  /// doesn't list.
+  Duration m_KeyDelay = 4s;
+  /// A VM that was disturbed in this time, in addition to m_KeyDelay, may not
+  /// know the newest configuration yet.
+  Duration m_KeySettleTime = 1s;
+  bool m_CheckQuota = false;
+  Duration m_QuotaWindow = 5s;
+  double m_QuotaTolerance = 1.1; ///< Factor on what the quota allows ...
+  double m_QuotaSlack = 20;      ///< ... and requests beyond that.
   double m_RetryRatio = 0.2;
   double m_RetrySlack = 50;
   Duration m_RetryWindow = 10s;
 };
 
+[[nodiscard]] bool overlaps(const std::vector<Disruption> &Disruptions,
+                            TimePoint From, TimePoint To);
+[[nodiscard]] bool anyWithin(const std::vector<TimePoint> &Times,
+                             TimePoint From, TimePoint To);
+/// \brief A message on a violation by \p Entry.
+[[nodiscard]] std::string message(const Attempt &Entry,
+                                  const std::string &Text);
+
 /// \brief Everything observed in one run of the soak.
 class Observations {
 public:
@@ -110,6 +154,9 @@
   std::vector<Disruption> m_StoreDisruptions;
   std::vector<Disruption> m_LinkDisruptions; ///< Of connections to upstreams.
   std::vector<Withdrawal> m_Withdrawals;
+  /// Of all keys; empty if the configuration has no customers.
+  std::vector<KeyPeriod> m_KeyPeriods;
+  std::vector<QuotaLimit> m_Quotas;
   /// Ends of upstreams under the crashing request, and its sends.
   std::vector<TimePoint> m_CrashedByRequest;
   std::vector<std::string> m_Violations; ///< Found during the run.
@@ -131,6 +178,17 @@
   void checkCrashingRequest(const InvariantLimits &Limits,
                             Messages &Violations) const;
   void checkCuts(const InvariantLimits &Limits, Messages &Violations) const;
+  void checkCustomers(const InvariantLimits &Limits,
+                      Messages &Violations) const;
+  void checkKeyRefusal(const Attempt &Entry, const InvariantLimits &Limits,
+                       Messages &Violations) const;
+  void checkCustomer(const Attempt &Entry, const Execution &Executed,
+                     const InvariantLimits &Limits, Messages &Violations) const;
+  void checkQuotas(const InvariantLimits &Limits, Messages &Violations) const;
+  /// \brief Whether a VM must know the configurations that were written
+  /// m_KeyDelay before any time from \p From to \p To.
+  [[nodiscard]] bool hasCurrentKeys(unsigned Vm, TimePoint From, TimePoint To,
+                                    const InvariantLimits &Limits) const;
   /// \brief Whether the process of a VM has been running undisturbed for the
   /// settle time before \p At, except for cuts.
   [[nodiscard]] static bool isInTouch(const VmHistory &Vm, TimePoint At,
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -20,7 +20,9 @@
 Usage:
   soak --binary=PATH [--first=SEED] [--seeds=N] [--seconds=N] [--timed]
        [--net=N] [--vms=N] [--regressions=FILE] [--production=PATH]
-       [--drills | --cuts | --cut-series | --departures | --floods]
+       [--drills | --cuts | --cut-series | --departures | --floods |
+       --customers]
+       [--quota]
        [--deliver-aborted]
        [--keep]
 
@@ -44,6 +46,9 @@
                       are held back, and checks that none arrives late.
   --floods            Plays nothing but upstreams and callers that send bytes
                       without end, and callers that don't read large answers.
+  --customers         The configuration has customers, whose keys change while
+                      callers send valid, unknown, withdrawn and malformed ones.
+  --quota             With --customers: one customer has a quota, which is checked.
   --deliver-aborted   Control of --departures, which must fail: links deliver what
                       its sender has withdrawn.
   --production=PATH   Another build of mustardspoke that the VMs run at first. They
@@ -124,6 +129,15 @@
     }
   }
 
+  [[nodiscard]] std::vector<RequestKind> kinds() const {
+    std::vector<RequestKind> Result{RequestKind::Read, RequestKind::Order,
+                                    RequestKind::Edition};
+    if (m_Settings.m_Plan.m_HasCustomers)
+      for (RequestKind Kind : {RequestKind::Public, RequestKind::Upload})
+        Result.push_back(Kind);
+    return Result;
+  }
+
   /// \brief Waits until every VM has answered every kind of request several
   /// times in a row.
   Done waitForRecovery(std::string When) {
@@ -131,8 +145,7 @@
     for (unsigned Vm = 0; Vm < m_Deployment.plan().m_Vms; ++Vm)
       for (unsigned Good = 0; Good < RequiredSuccesses;) {
         bool Served = co_await m_Callers.isReady(Vm);
-        for (RequestKind Kind :
-             {RequestKind::Read, RequestKind::Order, RequestKind::Edition})
+        for (RequestKind Kind : kinds())
           Served = Served && co_await m_Callers.sendOnce(Vm, Kind) == 200;
         Good = Served ? Good + 1 : 0;
         if (!Served)
@@ -171,6 +184,21 @@
             << std::endl;
 }
 
+/// \returns A message for each log of a VM in which a key appears.
+std::vector<std::string> findLoggedKeys(const std::string &Directory) {
+  std::vector<std::string> Result;
+  for (const auto &Entry : std::filesystem::directory_iterator(Directory)) {
+    std::ifstream In(Entry.path());
+    for (std::string Line; std::getline(In, Line);)
+      if (Line.find(KeyMarker) != std::string::npos) {
+        Result.push_back(Entry.path().filename().string() +
+                         " has a key: " + Line);
+        break;
+      }
+  }
+  return Result;
+}
+
 /// \returns Whether there was no violation.
 bool runSeed(Options Settings, std::uint64_t Seed) {
   std::string Template =
@@ -181,6 +209,8 @@
     SeedRun Current(Settings, Seed);
     Violations = Current.run();
     report(Current, Seed);
+    for (std::string &Line : findLoggedKeys(Settings.m_Plan.m_Directory))
+      Violations.push_back(std::move(Line));
     std::ofstream Timeline(Settings.m_Plan.m_Directory + "/timeline.log");
     for (const std::string &Line : Current.faults().timeline())
       Timeline << Line << '\n';
@@ -241,6 +271,12 @@
     Settings.m_Faults = FaultSet::CutSeries;
   if (Words["--floods"].asBool())
     Settings.m_Faults = FaultSet::Floods;
+  if (Words["--customers"].asBool()) {
+    Settings.m_Faults = FaultSet::Customers;
+    Settings.m_Plan.m_HasCustomers = true;
+    Settings.m_Plan.m_HasQuota = Words["--quota"].asBool();
+    Settings.m_Limits.m_CheckQuota = Settings.m_Plan.m_HasQuota;
+  }
   if (Words["--departures"].asBool()) {
     Settings.m_Faults = FaultSet::Departures;
     Settings.m_Limits.m_CheckLateRuns = true;
--- a/tests/soak/upstream_standin.cpp
+++ b/tests/soak/upstream_standin.cpp
@@ -6,6 +6,7 @@
 
 #include "json/json.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace mustardspoke::soak {
@@ -134,8 +135,15 @@
 awaitable<bool> UpstreamStandIn::execute(ConnectionPtr Connection,
                                          std::string Id) {
   std::uint64_t Incarnation = m_Incarnation;
+  bool SawKey = std::ranges::any_of(
+      Connection->head().m_Fields, [](const HttpField &Field) {
+        return equalIgnoringCase(Field.m_Name, "Authorization") ||
+               Field.m_Value.find(KeyMarker) != std::string::npos;
+      });
   m_Observed.m_Executions[Id].push_back(
-      {steadyNow(), m_Plan.m_Service, m_Plan.m_Id});
+      {steadyNow(), m_Plan.m_Service, m_Plan.m_Id,
+       Connection->field("X-Tenant-Id"), SawKey,
+       stableHash(Connection->body())});
   if (Connection->head().m_Target == CrashingTarget) {
     m_Observed.m_CrashedByRequest.push_back(steadyNow());
     crash();
--- a/tests/unit/observations_test.cpp
+++ b/tests/unit/observations_test.cpp
@@ -192,4 +192,187 @@
   Run.expectNone();
 }
 
+namespace {
+
+/// \brief Both requests carry a key of customer "heron".
+struct CustomerFixture : Fixture {
+  CustomerFixture() {
+    m_Observed.m_KeyPeriods = {{"k1", "heron", Start - 20s},
+                               {"k2", "ibis", Start - 20s}};
+    for (Attempt &Entry : m_Observed.m_Attempts) {
+      Entry.m_Key = "k1";
+      execution(Entry.m_Id).m_Customer = "heron";
+    }
+  }
+  Execution &execution(const std::string &Id) {
+    return m_Observed.m_Executions[Id].front();
+  }
+  KeyPeriod &key() { return m_Observed.m_KeyPeriods.front(); }
+  VmHistory &vm() { return m_Observed.m_Vms[0]; }
+  void refuseOrder() {
+    order().m_Status = 401;
+    m_Observed.m_Executions.erase("order");
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(RequestsWithValidKeysHaveNoViolation) {
+  CustomerFixture Run;
+  Run.expectNone();
+  Run.order().m_IsPublic = true;
+  Run.order().m_Key.clear();
+  Run.execution("order").m_Customer.clear();
+  Run.expectNone();
+}
+
+BOOST_AUTO_TEST_CASE(RequestWithoutACustomerThatRan) {
+  CustomerFixture Run;
+  Run.execution("order").m_Customer.clear();
+  Run.expectViolation("ran without a customer");
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatRanUnderAnotherCustomersName) {
+  CustomerFixture Run;
+  Run.execution("order").m_Customer = "ibis";
+  Run.expectViolation("in the name of ibis");
+  // An unknown key, a malformed one, and one that is listed only later.
+  Run.execution("order").m_Customer = "heron";
+  Run.order().m_Key = "k1x";
+  Run.expectViolation("in the name of heron");
+  Run.order().m_Key.clear();
+  Run.order().m_IsPublic = true;
+  Run.expectViolation("in the name of heron");
+  Run.order().m_Key = "k3";
+  Run.m_Observed.m_KeyPeriods.push_back({"k3", "heron", Start + 1s});
+  Run.expectViolation("in the name of heron");
+}
+
+BOOST_AUTO_TEST_CASE(KeyThatReachedAnUpstream) {
+  CustomerFixture Run;
+  Run.execution("order").m_SawKey = true;
+  Run.expectViolation("its key reached u1");
+}
+
+// Guards against connections and waiting requests on which a key stays valid
+// after a configuration took it away.
+BOOST_AUTO_TEST_CASE(KeyThatWasTakenAwayTooLongAgo) {
+  CustomerFixture Run;
+  Run.order().m_Key = "k2";
+  Run.execution("order").m_Customer = "ibis";
+  KeyPeriod &Taken = Run.m_Observed.m_KeyPeriods[1];
+  Taken.m_Until = Start - 3900ms;
+  Run.expectNone();
+  Taken.m_Until = Start - 4100ms;
+  Run.expectViolation("after its key was taken away");
+  // The VM could not know of it, or the request was held up on a link.
+  Run.vm().m_StoreCut = {{Start - 10s, Start - 4500ms}};
+  Run.expectNone();
+  Run.vm().m_StoreCut = {{Start - 10s, Start - 5500ms}};
+  Run.expectViolation("after its key was taken away");
+  Run.vm().m_StoreCut.clear();
+  Run.vm().m_Paused = {{Start - 4s, Start - 3s}};
+  Run.expectNone();
+  Run.vm().m_Paused.clear();
+  Run.vm().m_Started = {Start - 4s};
+  Run.expectNone();
+  Run.vm().m_Started = {Start - 6s};
+  Run.expectViolation("after its key was taken away");
+  Run.m_Observed.m_LinkDisruptions = {{Start + 1ms, Start + 2ms}};
+  Run.expectNone();
+  Run.m_Observed.m_LinkDisruptions.clear();
+  // Another VM was disturbed.
+  Run.m_Observed.m_Vms[1].m_Paused = {{Start - 4s, Start - 3s}};
+  Run.expectViolation("after its key was taken away");
+  // It was given back.
+  Run.m_Observed.m_KeyPeriods.push_back({"k2", "ibis", Start - 1s});
+  Run.expectNone();
+}
+
+// Guards against a key that stays its former customer's after it was given to
+// another one.
+BOOST_AUTO_TEST_CASE(KeyOfAnotherCustomerNow) {
+  CustomerFixture Run;
+  Run.key().m_Until = Start - 5s;
+  Run.m_Observed.m_KeyPeriods.push_back({"k1", "jay", Start - 5s});
+  Run.execution("read").m_Customer = "jay";
+  Run.expectViolation("after its key was taken away");
+  Run.execution("order").m_Customer = "jay";
+  Run.expectNone();
+}
+
+BOOST_AUTO_TEST_CASE(ValidKeyThatWasRefused) {
+  CustomerFixture Run;
+  Run.refuseOrder();
+  Run.expectViolation("a valid key was refused");
+  Run.key().m_From = Start - 4s;
+  Run.expectViolation("a valid key was refused");
+  Run.key().m_From = Start - 3900ms; // Not known everywhere.
+  Run.expectNone();
+  Run.key().m_From = Start - 4s;
+  Run.vm().m_Killed = {Start - 1s};
+  Run.expectNone();
+  Run.vm().m_Killed.clear();
+  Run.key().m_Until = Start + 20ms; // Before the answer.
+  Run.expectNone();
+  Run.order().m_Key = "k1x";
+  Run.expectNone();
+}
+
+BOOST_AUTO_TEST_CASE(RefusalOnAPublicRoute) {
+  CustomerFixture Run;
+  Run.refuseOrder();
+  Run.order().m_IsPublic = true;
+  Run.order().m_Key = "k1x";
+  Run.expectViolation("refused on a public route");
+}
+
+BOOST_AUTO_TEST_CASE(RequestRefusedForItsKeyThatRan) {
+  CustomerFixture Run;
+  Run.order().m_Status = 401;
+  Run.order().m_Key = "k1x";
+  std::vector<std::string> Found = Run.m_Observed.findViolations(Run.m_Limits);
+  BOOST_TEST(Found.size() == 2U); // It also ran for another customer.
+}
+
+BOOST_AUTO_TEST_CASE(UploadThatDidNotArriveWhole) {
+  Fixture Run;
+  Run.order().m_BodyHash = 7;
+  Run.m_Observed.m_Executions["order"].front().m_BodyHash = 7;
+  Run.expectNone();
+  Run.m_Observed.m_Executions["order"].front().m_BodyHash = 8;
+  Run.expectViolation("its body wasn't whole");
+}
+
+BOOST_AUTO_TEST_CASE(CustomerThatRanMoreThanItsQuota) {
+  CustomerFixture Run;
+  Run.m_Limits.m_CheckQuota = true;
+  Run.m_Observed.m_Quotas = {{"heron", 10, 6}};
+  // (10 x 5 + 6) x 1.1 + 20 is 81.6; 2 have run at the start.
+  for (int I = 0; I < 79; ++I) {
+    Attempt &Added = Run.add("q" + std::to_string(I), true);
+    Added.m_Key = "k1";
+    Execution &Executed = Run.execution(Added.m_Id);
+    Executed.m_Customer = "heron";
+    Executed.m_StartedAt = Start + 10ms + I * 50ms;
+    Added.m_EndedAt = Executed.m_StartedAt + 40ms;
+  }
+  Run.expectNone();
+  Attempt &Last = Run.add("last", true);
+  Last.m_Key = "k1";
+  Last.m_EndedAt = Start + 5050ms;
+  Run.execution("last").m_Customer = "heron";
+  Run.execution("last").m_StartedAt = Start + 5010ms; // Outside the window.
+  Run.expectNone();
+  Run.execution("last").m_StartedAt = Start + 5s;
+  Run.expectViolation("82 requests ran within 5000 ms, its quota allows 81");
+  Run.execution("last").m_Customer = "ibis";
+  Run.m_Observed.m_Attempts.back().m_Key = "k2";
+  Run.expectNone();
+  Run.m_Limits.m_CheckQuota = false;
+  Run.execution("last").m_Customer = "heron";
+  Run.m_Observed.m_Attempts.back().m_Key = "k1";
+  Run.expectNone();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
