--- a/tests/soak/customer_checks.cpp
+++ b/tests/soak/customer_checks.cpp
@@ -23,15 +23,17 @@
   for (const Attempt &Entry : m_Attempts) {
     if (!m_KeyPeriods.empty())
       checkKeyRefusal(Entry, Limits, Violations);
-    auto Found = m_Executions.find(Entry.m_Id);
-    if (Found == m_Executions.end())
-      continue;
-    for (const Execution &Executed : Found->second) {
-      if (Entry.m_BodyHash != 0 && Executed.m_BodyHash != Entry.m_BodyHash)
-        Violations.push_back(
-            message(Entry, "its body wasn't whole at " + Executed.m_Upstream));
-      if (!m_KeyPeriods.empty())
-        checkCustomer(Entry, Executed, Limits, Violations);
+    for (const auto *Received : {&m_Executions, &m_TurnedAway}) {
+      auto Found = Received->find(Entry.m_Id);
+      if (Found == Received->end())
+        continue;
+      for (const Execution &Arrival : Found->second) {
+        if (Entry.m_BodyHash != 0 && Arrival.m_BodyHash != Entry.m_BodyHash)
+          Violations.push_back(
+              message(Entry, "its body wasn't whole at " + Arrival.m_Upstream));
+        if (!m_KeyPeriods.empty())
+          checkCustomer(Entry, Arrival, Limits, Violations);
+      }
     }
   }
 }
@@ -53,42 +55,42 @@
     Violations.push_back(message(Entry, "a valid key was refused"));
 }
 
-void Observations::checkCustomer(const Attempt &Entry,
-                                 const Execution &Executed,
+void Observations::checkCustomer(const Attempt &Entry, const Execution &Arrival,
                                  const InvariantLimits &Limits,
                                  Messages &Violations) const {
-  if (Executed.m_SawKey)
+  if (Arrival.m_SawKey)
     Violations.push_back(
-        message(Entry, "its key reached " + Executed.m_Upstream));
-  if (Executed.m_Customer.empty()) {
+        message(Entry, "its key reached " + Arrival.m_Upstream));
+  if (Arrival.m_Customer.empty()) {
     if (!Entry.m_IsPublic)
-      Violations.push_back(message(Entry, "ran without a customer"));
+      Violations.push_back(message(Entry, "reached " + Arrival.m_Upstream +
+                                              " without a customer"));
     return;
   }
   bool WasListed = false;
   TimePoint Until{};
   for (const KeyPeriod &Known : m_KeyPeriods) {
-    if (Known.m_Key != Entry.m_Key || Known.m_Customer != Executed.m_Customer ||
-        Known.m_From > Executed.m_StartedAt)
+    if (Known.m_Key != Entry.m_Key || Known.m_Customer != Arrival.m_Customer ||
+        Known.m_From > Arrival.m_StartedAt)
       continue;
     WasListed = true;
     Until = std::max(Until, Known.m_Until);
   }
   if (!WasListed) {
-    Violations.push_back(message(Entry, "ran in the name of " +
-                                            Executed.m_Customer +
+    Violations.push_back(message(Entry, "sent in the name of " +
+                                            Arrival.m_Customer +
                                             ", whose key it didn't carry"));
     return;
   }
   // A request may be held up on its way to the upstream.
-  if (Executed.m_StartedAt > Until &&
-      Executed.m_StartedAt - Until > Limits.m_KeyDelay &&
-      hasCurrentKeys(Entry.m_Vm, Executed.m_StartedAt, Executed.m_StartedAt,
+  if (Arrival.m_StartedAt > Until &&
+      Arrival.m_StartedAt - Until > Limits.m_KeyDelay &&
+      hasCurrentKeys(Entry.m_Vm, Arrival.m_StartedAt, Arrival.m_StartedAt,
                      Limits) &&
-      !overlaps(m_LinkDisruptions, Entry.m_SentAt, Executed.m_StartedAt))
+      !overlaps(m_LinkDisruptions, Entry.m_SentAt, Arrival.m_StartedAt))
     Violations.push_back(message(
-        Entry, "ran for " + Executed.m_Customer + " " +
-                   std::to_string(toMillis(Executed.m_StartedAt - Until)) +
+        Entry, "sent for " + Arrival.m_Customer + " " +
+                   std::to_string(toMillis(Arrival.m_StartedAt - Until)) +
                    " ms after its key was taken away"));
 }
 
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -148,6 +148,8 @@
 public:
   /// By request identifier.
   std::map<std::string, std::vector<Execution>> m_Executions;
+  /// Requests that upstreams got and turned away, by identifier.
+  std::map<std::string, std::vector<Execution>> m_TurnedAway;
   std::vector<Attempt> m_Attempts;
   std::vector<VmHistory> m_Vms;
   /// Of the store or any connection to it.
@@ -182,7 +184,7 @@
                       Messages &Violations) const;
   void checkKeyRefusal(const Attempt &Entry, const InvariantLimits &Limits,
                        Messages &Violations) const;
-  void checkCustomer(const Attempt &Entry, const Execution &Executed,
+  void checkCustomer(const Attempt &Entry, const Execution &Arrival,
                      const InvariantLimits &Limits, Messages &Violations) const;
   void checkQuotas(const InvariantLimits &Limits, Messages &Violations) const;
   /// \brief Whether a VM must know the configurations that were written
--- a/tests/soak/upstream_standin.cpp
+++ b/tests/soak/upstream_standin.cpp
@@ -111,6 +111,17 @@
   return Head + "Content-Length: 0\r\n\r\n";
 }
 
+Execution UpstreamStandIn::observe(ServerSide &Connection) const {
+  bool SawKey = std::ranges::any_of(
+      Connection.head().m_Fields, [](const HttpField &Field) {
+        return equalIgnoringCase(Field.m_Name, "Authorization") ||
+               Field.m_Value.find(KeyMarker) != std::string::npos;
+      });
+  return {steadyNow(), m_Plan.m_Service,
+          m_Plan.m_Id, Connection.field("X-Tenant-Id"),
+          SawKey,      stableHash(Connection.body())};
+}
+
 awaitable<void> UpstreamStandIn::serve(ConnectionPtr Connection,
                                        std::uint64_t Incarnation) {
   for (;;) {
@@ -120,6 +131,7 @@
     bool Other = Connection->field("X-Target-Instance") != m_Plan.m_Id;
     bool Quiet = !Other && m_Faults.m_QuietSeconds > 0;
     if (Other || Quiet || m_ActiveRequests >= m_Plan.m_Slots) {
+      m_Observed.m_TurnedAway[Id].push_back(observe(*Connection));
       co_await Connection->sendRaw(refusal(Id, Other, Quiet));
       continue;
     }
@@ -135,15 +147,7 @@
 awaitable<bool> UpstreamStandIn::execute(ConnectionPtr Connection,
                                          std::string Id) {
   std::uint64_t Incarnation = m_Incarnation;
-  bool SawKey = std::ranges::any_of(
-      Connection->head().m_Fields, [](const HttpField &Field) {
-        return equalIgnoringCase(Field.m_Name, "Authorization") ||
-               Field.m_Value.find(KeyMarker) != std::string::npos;
-      });
-  m_Observed.m_Executions[Id].push_back(
-      {steadyNow(), m_Plan.m_Service, m_Plan.m_Id,
-       Connection->field("X-Tenant-Id"), SawKey,
-       stableHash(Connection->body())});
+  m_Observed.m_Executions[Id].push_back(observe(*Connection));
   if (Connection->head().m_Target == CrashingTarget) {
     m_Observed.m_CrashedByRequest.push_back(steadyNow());
     crash();
--- a/tests/soak/upstream_standin.h
+++ b/tests/soak/upstream_standin.h
@@ -67,6 +67,8 @@
   steer::awaitable<bool> execute(ConnectionPtr Connection, std::string Id);
   /// \brief Sends bytes without end, until the other side closes.
   steer::awaitable<void> flood(ConnectionPtr Connection, test::Flood Plan);
+  /// \brief What it sees of the request that it has just received.
+  [[nodiscard]] Execution observe(test::ServerSide &Connection) const;
   [[nodiscard]] std::string loadHeaders() const;
   /// \brief States that the request was not run.
   /// \param Other The request was meant for another upstream.
--- a/tests/unit/observations_test.cpp
+++ b/tests/unit/observations_test.cpp
@@ -229,7 +229,12 @@
 BOOST_AUTO_TEST_CASE(RequestWithoutACustomerThatRan) {
   CustomerFixture Run;
   Run.execution("order").m_Customer.clear();
-  Run.expectViolation("ran without a customer");
+  Run.expectViolation("reached u1 without a customer");
+  // Also if the upstream turned it away.
+  Execution Sent = Run.execution("order");
+  Run.execution("order").m_Customer = "heron";
+  Run.m_Observed.m_TurnedAway["order"] = {Sent};
+  Run.expectViolation("reached u1 without a customer");
 }
 
 BOOST_AUTO_TEST_CASE(RequestThatRanUnderAnotherCustomersName) {
