--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -57,6 +57,7 @@
 )";
 
 constexpr unsigned CallerCount = 40;
+constexpr Duration SupervisionInterval = 20ms;
 /// Limit for serving all requests again after the last fault; the machine may
 /// be busy.
 constexpr Duration RecoveryTimeout = 30s;
@@ -96,6 +97,7 @@
 
   [[nodiscard]] const Observations &observations() const { return m_Observed; }
   [[nodiscard]] const FaultInjector &faults() const { return m_FaultInjector; }
+  [[nodiscard]] Duration longestStall() const { return m_LongestStall; }
 
 private:
   using Done = steer::awaitable<void>;
@@ -124,8 +126,11 @@
 
   Done superviseVms() {
     for (;;) {
+      TimePoint Before = steer::steadyNow();
       m_Deployment.checkVms();
-      co_await steer::sleepFor(m_Io, 20ms);
+      co_await steer::sleepFor(m_Io, SupervisionInterval);
+      m_LongestStall = std::max(m_LongestStall, steer::steadyNow() - Before -
+                                                    SupervisionInterval);
     }
   }
 
@@ -165,6 +170,9 @@
   LocalDeployment m_Deployment;
   Callers m_Callers;
   FaultInjector m_FaultInjector;
+  /// For which this process, with its callers and upstreams, did nothing. A
+  /// long one explains late answers; it doesn't excuse them.
+  Duration m_LongestStall{};
 };
 
 void report(const SeedRun &Run, std::uint64_t Seed) {
@@ -180,8 +188,9 @@
                               : std::to_string(Status))
               << ' ' << Count;
   std::cout << "; a request ended "
-            << Run.observations().m_CrashedByRequest.size() << " upstreams"
-            << std::endl;
+            << Run.observations().m_CrashedByRequest.size()
+            << " upstreams; the soak stood still for up to "
+            << toMillis(Run.longestStall()) << " ms" << std::endl;
 }
 
 /// \returns A message for each log of a VM in which a key appears.
