--- a/src/gateway/explain.cpp
+++ b/src/gateway/explain.cpp
@@ -329,7 +329,9 @@
                         m_Customer,
                         m_Service,
                         requestKeyHash(m_Query.m_AffinityKey, ""),
-                        m_Now};
+                        m_Now,
+                        requestPlacementKey(*m_Route, m_Service,
+                                            m_Query.m_AffinityKey)};
   JudgementLog Log;
   ChoiceInput Input = choiceInput(m_State, Shares, Request, m_Now);
   Input.m_Observer = &Log;
