--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -36,6 +36,8 @@
 constexpr std::string_view Failed = "failed";
 /// Reason of refusals of requests without a valid key.
 constexpr std::string_view UnknownKey = "unknown-key";
+/// Reason of refusals of requests over their customer's quota.
+constexpr std::string_view OverQuota = "over-quota";
 /// Reason of refusals of requests that no region may serve.
 constexpr std::string_view NoRegion = "no-region";
 /// Retry-After of the latter: only a new configuration helps.
@@ -109,6 +111,7 @@
   if (Thrown)
     Keep = co_await endAfterFailure(Thrown);
   m_Timer.cancel();
+  returnUnusedQuota(); // Requests may end without an answer.
   co_return Keep;
 }
 
@@ -167,6 +170,12 @@
     co_return co_await refuse(ErrorKind::Leaving,
                               errorInfo(ErrorKind::Leaving).m_RetryAfter,
                               Leaving);
+  if (!takeQuota())
+    co_return co_await refuse(
+        ErrorKind::OverQuota,
+        m_State.m_Quotas.retryAfter(stableHash(m_Customer->m_Name.str()),
+                                    steadyNow()),
+        OverQuota);
   if (!mayStream())
     m_Caller->noteWholeAnswer(m_Request);
   // If an earlier response closes the connection, the caller sends this request
@@ -194,6 +203,22 @@
   return m_Customer || m_Route->m_IsPublic;
 }
 
+bool Exchange::takeQuota() {
+  if (!m_Customer || !m_Customer->m_Quota.isLimited())
+    return true;
+  std::uint64_t Hash = stableHash(m_Customer->m_Name.str());
+  if (!m_State.m_Quotas.admit(Hash, steadyNow()))
+    return false;
+  m_QuotaHash = Hash;
+  return true;
+}
+
+void Exchange::returnUnusedQuota() {
+  std::optional<std::uint64_t> Hash = std::exchange(m_QuotaHash, std::nullopt);
+  if (Hash && m_SentAttempts == 0)
+    m_State.m_Quotas.giveBack(*Hash, steadyNow());
+}
+
 bool Exchange::isKeyRevoked() const {
   const RouteTablePtr &Newest = m_State.m_Routes;
   if (!m_Customer || m_Route->m_IsPublic || Newest == m_Routes)
@@ -418,6 +443,7 @@
 
 void Exchange::record(ErrorKind Error, unsigned Status,
                       std::string_view Reason) {
+  returnUnusedQuota();
   Duration Elapsed = steadyNow() - m_ArrivedAt;
   CallSample Sample;
   Sample.m_Service = m_TargetService;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -87,6 +87,12 @@
   awaitable<bool> route();
   /// \brief Whether the caller may use m_Route; sets m_Customer.
   [[nodiscard]] bool identifyCustomer();
+  /// \brief Whether the customer's quota admits the request; true without
+  /// customer or quota.
+  [[nodiscard]] bool takeQuota();
+  /// \brief Returns what takeQuota() took, unless an upstream may have got a
+  /// byte of the request.
+  void returnUnusedQuota();
   /// \brief Whether the newest configuration still knows the caller's key. A
   /// request may have waited since it was accepted.
   [[nodiscard]] bool isKeyRevoked() const;
@@ -254,6 +260,8 @@
   /// On whose behalf the caller sends. Points into m_Routes; null if callers
   /// need no key.
   const Customer *m_Customer = nullptr;
+  /// Of m_Customer's name; set while the request counts against its quota.
+  std::optional<std::uint64_t> m_QuotaHash;
   Route m_PeersRoute; ///< What is known of the route of a peer's request.
   ServiceName m_TargetService;
   TimePoint m_Deadline;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -169,6 +169,7 @@
       m_State.m_Metrics.exposition() + m_Replica.exposition() +
           shareExposition(m_State.m_LocalShares) +
           limitExposition(m_State.m_Upstreams, steadyNow()) +
+          quotaExposition(m_State.m_Quotas) +
           crashExposition(m_State.m_CrashSuspects) +
           bufferExposition(m_State.m_Buffers) +
           linkExposition(m_State.m_OwnLinks));
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -113,6 +113,8 @@
       Result.m_UpstreamLoads.push_back(
           {loadKey(Target.m_IdHash), Target.ownActiveRequests()});
   });
+  Result.m_CustomerLoads = m_State.m_Quotas.loadsToSend(
+      Region == m_State.m_Settings.m_Placement.m_Region, steadyNow());
   m_State.m_LocalShares.forEach([&](const ServiceName &Service,
                                     const LocalShareState &State) {
     // The own region needs the share, the others the utilization.
@@ -179,11 +181,20 @@
   return Peers;
 }
 
+void PeerService::refreshQuotas() {
+  if (m_State.m_Quotas.size() == 0)
+    return;
+  TimePoint Now = steadyNow();
+  m_State.m_Quotas.refresh(quotaFleet(m_State.m_Fleet, Now), Now);
+  m_QuotaLog.logChanges(m_State.m_Quotas, Now);
+}
+
 awaitable<void> PeerService::heartbeatLoop() {
   const std::string &OwnAddress = m_State.m_Settings.m_PeerAddress;
   std::string Port = OwnAddress.substr(OwnAddress.rfind(':'));
   for (;;) {
     const RegionName &LocalRegion = m_State.m_Settings.m_Placement.m_Region;
+    refreshQuotas();
     bool ContactsSeeds = m_Round % SeedContactInterval == 0;
     std::vector<Fleet::Recipient> Peers = sendHeartbeats();
     // Without the store, peers are found only through the seeds and the
@@ -282,6 +293,10 @@
                                Heartbeat.m_UpstreamLoads, Now);
   bool IsLocal =
       Heartbeat.m_Sender.m_Region == m_State.m_Settings.m_Placement.m_Region;
+  m_State.m_Quotas.receivedLoads(
+      Heartbeat.m_Sender.m_Vm,
+      IsLocal ? std::nullopt : std::optional(Heartbeat.m_Sender.m_Region),
+      Heartbeat.m_CustomerLoads, Now);
   if (IsLocal)
     for (const PeerAge &Age : Heartbeat.m_ReaderAges)
       m_State.m_Fleet.receivedReaderAge(Age, Now);
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway/address_binder.h"
+#include "gateway/quota_report.h"
 #include "gateway/share_report.h"
 #include "gateway/store_replica.h"
 
@@ -49,6 +50,8 @@
   awaitable<void> serveRowsRequest(std::shared_ptr<Tcp::socket> Peer);
   awaitable<void> fetchRows(std::string Address,
                             std::vector<std::uint64_t> After);
+  /// \brief Brings the quotas up to date for the heartbeats of a round.
+  void refreshQuotas();
   void handleHeartbeat(const Heartbeat &Heartbeat);
   /// \brief Whether rows may be fetched from this peer: usually, one fetch runs
   /// at a time.
@@ -74,6 +77,7 @@
   TimePoint m_LastFetchAt{};
   RowLag m_RowLag;
   ShareLog m_ShareLog;
+  QuotaLog m_QuotaLog;
 };
 
 } // namespace mustardspoke::steer
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -57,7 +57,8 @@
       : m_Io(Loop), m_Settings(std::move(Settings)), m_WireFormat(Format),
         m_Decoder(std::move(Decoder)), m_Buffers(m_Settings.m_BufferBytes),
         m_OwnLinks(Loop, m_Upstreams),
-        m_Fleet(selfDescription(m_Settings), m_Settings.m_Fleet) {}
+        m_Fleet(selfDescription(m_Settings), m_Settings.m_Fleet),
+        m_Quotas(m_Settings.m_Vm) {}
 
   asio::io_context &m_Io;
   GatewaySettings m_Settings;
@@ -70,6 +71,7 @@
   UpstreamTable m_Upstreams;
   OwnLinks m_OwnLinks;
   Fleet m_Fleet;
+  CustomerQuotas m_Quotas;
   LocalShares m_LocalShares;
   TrafficSplitter m_TrafficSplit;
   std::map<ServiceName, RetryBudget> m_RetryBudgets;
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -98,6 +98,7 @@
       m_State.m_Routes->m_Version >= Decoded.m_Routes->m_Version)
     return;
   m_State.m_Routes = Decoded.m_Routes;
+  m_State.m_Quotas.setQuotas(Decoded.m_Routes->m_Customers, steadyNow());
   for (const std::string &Warning : Decoded.m_Warnings)
     logEvent(LogLevel::Warning, "configuration-warning",
              {{"row", formatPosition(Row.m_Version)}, {"cause", Warning}});
--- a/src/inner/heartbeat_codec.h
+++ b/src/inner/heartbeat_codec.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "steer/crash_suspects.h"
+#include "steer/customer_quota.h"
 #include "steer/fleet.h"
 #include "steer/store_row.h"
 
@@ -24,14 +25,6 @@
   double m_RefusedFraction = 0;
 };
 
-/// \brief Requests of one customer at one VM, or at all VMs of a region.
-struct CustomerLoad {
-  std::uint64_t m_CustomerHash = 0; ///< Of its name.
-  double m_OfferedPerSecond = 0;    ///< All that arrived, admitted or not.
-  double m_AdmittedPerSecond = 0;
-  unsigned m_Vms = 1; ///< The figures are the sum over so many VMs.
-};
-
 /// \brief What a VM knows of the rate limit of an upstream.
 struct PeerLimit {
   UpstreamRunKey m_Run = 0;
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -192,6 +192,12 @@
   [[nodiscard]] std::map<std::uint32_t, double>
   peerActiveRequests(TimePoint Now) const;
 
+  /// \brief Calls \p Visit with the state of each known VM except this one,
+  /// and with when it was last heard from, directly or through others.
+  template <class Visitor> void forEachPeer(Visitor &&Visit) const {
+    for (const auto &[Vm, Entry] : m_Peers)
+      Visit(Entry.m_State, Entry.m_LastHeardAt);
+  }
   /// \brief All known VMs except this one.
   [[nodiscard]] std::vector<EntryVm> peers() const;
   [[nodiscard]] bool isAlive(const VmName &Vm, TimePoint Now) const;
--- a/src/steer/rate_limit.h
+++ b/src/steer/rate_limit.h
@@ -24,6 +24,12 @@
   [[nodiscard]] bool hasToken() const noexcept { return m_Tokens >= 1; }
   /// \returns Whether there was a token.
   bool take() noexcept;
+  /// \brief Takes tokens that were used elsewhere or without asking; the bucket
+  /// may fall below empty, down to \p Floor.
+  void charge(double Tokens, double Floor) noexcept {
+    m_Tokens = std::max(std::min(m_Tokens, Floor), m_Tokens - Tokens);
+  }
+  [[nodiscard]] double tokens() const noexcept { return m_Tokens; }
 
 private:
   double m_Tokens;
