--- a/src/steer/customer_quota.cpp
+++ b/src/steer/customer_quota.cpp
@@ -58,12 +58,14 @@
 /// quota.
 constexpr double NearFraction = 0.8;
 /// Loads in one heartbeat to VMs of the own region. A load takes 20 bytes; with
-/// 32 such heartbeats in a second, 7.7 KB/s.
-constexpr std::size_t MaxOwnLoads = 12;
+/// 32 such heartbeats in a second, up to 9 KB/s.
+constexpr std::size_t MaxOwnLoads = 14;
 /// The same to other regions, in 4 heartbeats per second.
-constexpr std::size_t MaxRegionLoads = 24;
+constexpr std::size_t MaxRegionLoads = 32;
+/// Demand beyond so many times the rate doesn't change the selection.
+constexpr double MaxUtilizationRank = 2;
 /// A lower rate isn't sent, per second.
-constexpr double MinSentRate = 0.05;
+constexpr double MinSentRate = 0.1;
 /// Means of peers are kept for this long. In a fleet of 300, a given peer is
 /// heard every 8 s.
 constexpr Duration PeerMemory = 1min;
@@ -145,9 +147,7 @@
     // VMs that start together must not admit their first requests together.
     Target.m_Credit =
         double(stableHash(Added.m_Name.str(), m_Seed) >> 11) * 0x1p-53;
-    // A VM that has just started may be one that has used its share before.
-    Target.m_Level =
-        TokenBucket(depth(Target) / std::max(1U, m_Fleet.m_KnownVms), Now);
+    Target.m_Level = TokenBucket(depth(Target), Now);
   });
 }
 
@@ -376,12 +376,16 @@
       if (m_HeardRegions.contains(Region))
         Reachable += Count;
   }
-  m_ReachableFraction =
-      std::min(1.0, double(Reachable) / std::max(1U, Fleet.m_KnownVms));
+  double Before = std::exchange(
+      m_ReachableFraction,
+      std::min(1.0, double(Reachable) / std::max(1U, Fleet.m_KnownVms)));
   double LocalPeers = Fleet.m_LocalVms > 0 ? Fleet.m_LocalVms - 1 : 0;
   double LocalFactor =
       HeardPeers == 0 ? 1 : std::max(1.0, LocalPeers / double(HeardPeers));
   for (auto &[Hash, Target] : m_Entries) {
+    // Parts of a fleet have their parts of the saved tokens.
+    double Saved = std::max(0.0, Target.m_Level.tokens());
+    Target.m_Level.charge(Saved * (1 - m_ReachableFraction / Before), 0);
     sumReports(Target, LocalFactor, Now);
     advance(Target, Now);
   }
@@ -390,18 +394,22 @@
 
 void CustomerQuotas::selectLoads(TimePoint Now) {
   using Ranked = std::vector<std::pair<double, std::uint64_t>>;
-  constexpr double NearRank = 1e9; // Before any customer that isn't near.
   Ranked Own;
   Ranked Region;
+  ++m_Rounds;
   for (const auto &[Hash, Target] : m_Entries) {
-    double Rate = Target.m_Quota.m_RequestsPerSecond;
-    double Bonus = Target.m_Demand >= Rate * NearFraction ? NearRank : 0;
-    double Offered = Target.m_Own.current(Now);
-    if (Offered >= MinSentRate)
-      Own.emplace_back(Bonus + Offered / Rate, Hash);
+    // Customers near their quotas come more often, but none is always left out.
+    double Utilization =
+        std::min(MaxUtilizationRank,
+                 Target.m_Demand / Target.m_Quota.m_RequestsPerSecond);
+    double Random =
+        double(stableHash(Target.m_Name.str(), m_Seed + m_Rounds) >> 11) *
+        0x1p-53;
+    if (Target.m_Own.current(Now) >= MinSentRate)
+      Own.emplace_back(Random + Utilization, Hash);
     if (regionDemand(Target, Now) >= MinSentRate)
-      Region.emplace_back(Bonus + secondsBetween(Target.m_RegionSentAt, Now),
-                          Hash);
+      Region.emplace_back(
+          secondsBetween(Target.m_RegionSentAt, Now) * (1 + Utilization), Hash);
   }
   auto Select = [](Ranked &From, std::size_t Max,
                    std::vector<std::uint64_t> &To) {
--- a/src/steer/customer_quota.h
+++ b/src/steer/customer_quota.h
@@ -213,6 +213,7 @@
   // Customers in the next heartbeats, to the own region and to others.
   std::vector<std::uint64_t> m_OwnLoads;
   std::vector<std::uint64_t> m_RegionLoads;
+  std::uint64_t m_Rounds = 0; ///< Calls of refresh().
 };
 
 } // namespace mustardspoke::steer
