--- a/src/steer/customer_quota.cpp
+++ b/src/steer/customer_quota.cpp
@@ -22,7 +22,7 @@
 constexpr double NoisePerRootOfRate = 2;
 /// Requests admitted beyond the quota are made up for in about this time; less
 /// than the 5 s over which the requirement counts.
-constexpr double RepaySeconds = 1;
+constexpr double RepaySeconds = 0.7;
 /// With this time's excess in the bucket, everything is admitted.
 constexpr double ReserveSeconds = 0.05;
 /// Bound of the requests to make up for, in seconds of the rate.
@@ -33,18 +33,18 @@
 constexpr double OwnLagSeconds = 0.3;
 /// The same for a jump that peers report: their means and the way, and a part
 /// of the age of the reports, as some peers are heard earlier.
-constexpr double ReportLagSeconds = 0.5;
+constexpr double ReportLagSeconds = 0.6;
 constexpr double ReportAgeWeight = 0.7;
 /// Growth is noticed within this time, however old the reports are.
 constexpr double MaxAgeSeconds = 2;
 /// Own requests count at most this much for the growth of all; a jump at few
 /// VMs says little of the others.
-constexpr double MaxOwnGrowth = 24;
+constexpr double MaxOwnGrowth = 12;
 /// A report of at most this age counts as it is; of older ones the mean, with
 /// the growth since.
 constexpr Duration FreshAge = 500ms;
 /// Time constant of the sample that tells the growth.
-constexpr double SampleSeconds = 0.5;
+constexpr double SampleSeconds = 0.7;
 /// Time constant of the running means of reports.
 constexpr double UsualSeconds = 6;
 /// Growth below so many standard deviations of the sample is ignored.
@@ -78,6 +78,14 @@
   return std::exp(-secondsBetween(From, To) / Seconds);
 }
 
+/// \param Left, Right Rates per second.
+/// \param Window Over which the events were counted, in seconds.
+bool differsByMoreThanChance(double Left, double Right, double Window) {
+  constexpr double Deviations = 2;
+  return std::abs(Left - Right) * Window >
+         Deviations * std::sqrt(std::max(Left, Right) * Window + 1);
+}
+
 } // namespace
 
 void ArrivalRate::record(TimePoint Now) {
@@ -100,17 +108,15 @@
   double Fast = m_Fast * decay(m_UpdatedAt, Now, FastSeconds);
   double Current = m_Current * decay(m_UpdatedAt, Now, CurrentSeconds);
   // An exponential mean weighs events as a window of twice its time constant.
-  double Counted = Fast * 2 * FastSeconds;
-  double Expected = Current * 2 * FastSeconds;
-  constexpr double Deviations = 2;
-  bool IsSignificant = std::abs(Counted - Expected) >
-                       Deviations * std::sqrt(std::max(Counted, Expected) + 1);
-  return IsSignificant ? Fast : Current;
+  return differsByMoreThanChance(Fast, Current, 2 * FastSeconds) ? Fast
+                                                                 : Current;
 }
 
 void CustomerQuotas::Report::receive(double Offered, double MeanSeconds,
                                      TimePoint Now) {
   m_Usual += (Offered - m_Usual) * (1 - decay(m_At, Now, MeanSeconds));
+  m_HasJumped = differsByMoreThanChance(Offered, m_Usual,
+                                        2 * ArrivalRate::CurrentSeconds);
   m_Offered = Offered;
   m_At = Now;
 }
@@ -312,7 +318,9 @@
 void CustomerQuotas::receivedPeerLoad(Entry &Target, Report &Peer,
                                       double Offered, TimePoint Now) {
   double Weight = decay(Target.m_SampledAt, Now, SampleSeconds);
-  Target.m_SampleCurrent = Target.m_SampleCurrent * Weight + Offered;
+  Target.m_SampleCurrent =
+      Target.m_SampleCurrent * Weight +
+      std::min(Offered, MaxOwnGrowth * (Peer.m_Usual + GrowthPrior));
   Target.m_SampleUsual = Target.m_SampleUsual * Weight + Peer.m_Usual;
   Target.m_SampledAt = Now;
   Peer.receive(Offered, UsualSeconds, Now);
@@ -333,7 +341,7 @@
     if (Now - Peer.m_At > ReportMaxAge)
       continue;
     AgeSum += std::min(MaxAgeSeconds, secondsBetween(Peer.m_At, Now));
-    if (Now - Peer.m_At <= FreshAge)
+    if (Now - Peer.m_At <= FreshAge || Peer.m_HasJumped)
       Customer.m_FreshPeers += Peer.m_Offered;
     else
       Customer.m_StalePeers += Peer.m_Usual;
--- a/src/steer/customer_quota.h
+++ b/src/steer/customer_quota.h
@@ -141,6 +141,8 @@
     double m_Offered = 0; ///< Per second, last report.
     double m_Usual = 0;   ///< Running mean of the reports.
     TimePoint m_At{};     ///< Zero before the first report.
+    /// The last report differs from the mean by more than chance explains.
+    bool m_HasJumped = false;
 
     void receive(double Offered, double MeanSeconds, TimePoint Now);
   };
