--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -175,6 +175,7 @@
           shareExposition(m_State.m_LocalShares) +
           admissionExposition(m_State.m_Admission) +
           limitExposition(m_State.m_Upstreams, steadyNow()) +
+          quotaExposition(m_State.m_Quotas) +
           crashExposition(m_State.m_CrashSuspects) +
           bufferExposition(m_State.m_Buffers) +
           linkExposition(m_State.m_OwnLinks));
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -5,6 +5,7 @@
 
 #include "gateway/address_binder.h"
 #include "gateway/admission_report.h"
+#include "gateway/quota_report.h"
 #include "gateway/share_report.h"
 #include "gateway/store_replica.h"
 
@@ -50,6 +51,8 @@
   awaitable<void> serveRowsRequest(std::shared_ptr<Tcp::socket> Peer);
   awaitable<void> fetchRows(std::string Address,
                             std::vector<std::uint64_t> After);
+  /// \brief Brings the quotas up to date for the heartbeats of a round.
+  void refreshQuotas();
   void handleHeartbeat(const Heartbeat &Heartbeat);
   /// \brief Whether rows may be fetched from this peer: usually, one fetch runs
   /// at a time.
@@ -76,6 +79,7 @@
   RowLag m_RowLag;
   ShareLog m_ShareLog;
   AdmissionLog m_AdmissionLog;
+  QuotaLog m_QuotaLog;
 };
 
 } // namespace mustardspoke::steer
