--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -372,7 +372,7 @@
   co_return co_await giveUp(Last, 200ms, "unreachable");
 }
 
-std::uint64_t Exchange::placementKey() const {
+PlacementKey Exchange::placementKey() const {
   return requestPlacementKey(*m_Route, m_TargetService,
                              m_Metadata.m_AffinityKey);
 }
