--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -155,7 +155,11 @@
     return Weight *
            std::min(Tuning.m_IncreaseGain * Excess, Tuning.m_MaxIncrease);
   }
-  if (NoRoom >= Tuning.m_LowNoRoom || Utilization >= Tuning.m_HighUtilization) {
+  // Requests that find no room while many slots are free fail for another
+  // reason, which refusals don't help against.
+  bool HasFreeSlots = Utilization < Tuning.m_LowUtilization;
+  if (!HasFreeSlots && (NoRoom >= Tuning.m_LowNoRoom ||
+                        Utilization >= Tuning.m_HighUtilization)) {
     m_CalmSteps = 0;
     return 0;
   }
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -39,7 +39,7 @@
   /// It increases only while at least this part is in use. Otherwise it would
   /// overshoot while the queues of a shortage empty, and rejections by idle
   /// upstreams would raise it.
-  double m_LowUtilization = 0.75;
+  double m_LowUtilization = 0.85;
   /// Time constants: of the count of requests without room, and of the counts
   /// by priority. A VM of a large fleet gets a few requests per second.
   Duration m_NoRoomMemory = 600ms;
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -347,47 +347,22 @@
   return MeanWait <= 0 ? 0 : std::exp(-Slack / MeanWait);
 }
 
-/// \brief Whether a key that \p From holds is to be held by \p To from now on.
-bool movesKey(const Upstream &From, const Upstream &To,
-              const ChoiceInput &Input, const ChoiceTuning &Tuning) {
-  double Risk = lateRisk(To, Input);
-  return Risk <= Tuning.m_MaxMoveTargetRisk &&
-         Risk + Tuning.m_MoveRisk < lateRisk(From, Input);
-}
-
-/// \brief Puts the better one of the two first candidates for the key at the
-/// front.
+/// \brief Has the second candidate for the key hold it while the first one is
+/// too busy.
 ///
-/// \details While both hold the key, the one with the shorter queue is better.
-/// A key that only one of them holds stays there unless enough of its further
-/// requests are answered in time by the other: the first request there is
-/// likely to be late. Both are judged by their mean queues over the last
-/// seconds, as a momentary one is gone before the key is held elsewhere. The
-/// times of single upstreams aren't compared: one that has just got keys that
-/// it didn't hold looks slow, and moving keys away from it would have yet more
-/// keys processed where they aren't held.
+/// \details Both are judged by their mean queues over the last seconds, which
+/// all VMs know from the same load reports. A momentary queue is gone before
+/// the key is held elsewhere, and following it has keys processed, and evicted,
+/// at both. The times of single upstreams aren't compared: one that has just
+/// got keys that it didn't hold looks slow, and moving keys away from it would
+/// have yet more keys processed where they aren't held.
 void orderHolders(std::span<Candidate> Holders, const ChoiceInput &Input,
                   const ChoiceTuning &Tuning) {
   if (Holders.size() < 2 || Holders[0].m_Tier != Holders[1].m_Tier)
     return;
-  const Upstream &First = *Holders[0].m_Upstream;
-  const Upstream &Second = *Holders[1].m_Upstream;
-  auto Holds = [&Input](const Upstream &Target) {
-    return Input.m_Placement->isHeld(Input.m_PlacementKey, Target, Input.m_Now);
-  };
-  bool SecondHolds = Holds(Second);
-  // Other VMs send the key to the first candidate as well.
-  bool FirstHolds = !SecondHolds || Holds(First);
-  bool SecondIsBetter = false;
-  if (FirstHolds && SecondHolds)
-    SecondIsBetter =
-        queuedRounds(Second, Input, Tuning) + Tuning.m_QueueMargin <
-        queuedRounds(First, Input, Tuning);
-  else if (SecondHolds)
-    SecondIsBetter = !movesKey(Second, First, Input, Tuning);
-  else
-    SecondIsBetter = movesKey(First, Second, Input, Tuning);
-  if (SecondIsBetter)
+  double Risk = lateRisk(*Holders[1].m_Upstream, Input);
+  if (Risk <= Tuning.m_MaxMoveTargetRisk &&
+      Risk + Tuning.m_MoveRisk < lateRisk(*Holders[0].m_Upstream, Input))
     std::swap(Holders[0], Holders[1]);
 }
 
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -34,10 +34,6 @@
   /// No key moves to an upstream with a larger risk of late answers: while all
   /// are short of room, moves only have keys evicted.
   double m_MaxMoveTargetRisk = 0.1;
-  /// If both hold a key, the second one is used when its queue is shorter by
-  /// this part of the processing time. Reports are some hundred milliseconds
-  /// old.
-  double m_QueueMargin = 0.3;
   /// Fraction of the time left until the target latency that the estimated
   /// queueing and processing may take. Above 1 because the mean processing
   /// time includes requests for keys that the upstream does not hold, which
