--- a/src/steer/customer_quota.cpp
+++ b/src/steer/customer_quota.cpp
@@ -15,7 +15,7 @@
 constexpr double AllowedSeconds = 5;
 constexpr double AllowedFraction = 0.1;
 constexpr double AllowedRequests = 20;
-constexpr double DepthFractionOfAllowance = 0.35;
+constexpr double DepthFractionOfAllowance = 0.33;
 /// The noise of a rate grows with its root; a deeper bucket would only admit
 /// more in a jump.
 constexpr double NoiseRequests = 8;
@@ -33,13 +33,16 @@
 constexpr double OwnLagSeconds = 0.3;
 /// The same for a jump that peers report: their means and the way, and a part
 /// of the age of the reports, as some peers are heard earlier.
-constexpr double ReportLagSeconds = 0.6;
-constexpr double ReportAgeWeight = 0.7;
+constexpr double ReportLagSeconds = 0.3;
+/// More of it for low rates, whose means are slower; halved at the rate below.
+constexpr double LowRateLagSeconds = 0.35;
+constexpr double LowRate = 60; // per second and VM
+constexpr double ReportAgeWeight = 0.75;
 /// Growth is noticed within this time, however old the reports are.
 constexpr double MaxAgeSeconds = 2;
-/// Own requests count at most this much for the growth of all; a jump at few
-/// VMs says little of the others.
-constexpr double MaxOwnGrowth = 12;
+/// Requests of one VM count at most this much for the growth of all; a jump at
+/// few VMs says little of the others.
+constexpr double MaxGrowthOfOne = 12;
 /// A report of at most this age counts as it is; of older ones the mean, with
 /// the growth since.
 constexpr Duration FreshAge = 500ms;
@@ -176,10 +179,12 @@
 }
 
 double CustomerQuotas::growth(const Entry &Customer, TimePoint Now) const {
+  if (!Customer.m_Own.isEstablished(Now))
+    return 1;
   double Weight = decay(Customer.m_SampledAt, Now, SampleSeconds);
   double Usual = Customer.m_Own.usual(Now);
   double Current = Customer.m_Own.current(Now);
-  Current = std::min(Current, MaxOwnGrowth * (Usual + GrowthPrior));
+  Current = std::min(Current, MaxGrowthOfOne * (Usual + GrowthPrior));
   Current += Customer.m_SampleCurrent * Weight;
   Usual += Customer.m_SampleUsual * Weight;
   // What chance explains is no growth.
@@ -211,9 +216,10 @@
   double Sample = Customer.m_SampleCurrent *
                   decay(Customer.m_SampledAt, Now, SampleSeconds);
   double OwnPart = Own > 0 ? Own / (Own + Sample) : 0;
-  return OwnLagSeconds * OwnPart +
-         (ReportLagSeconds + ReportAgeWeight * Customer.m_MeanAge) *
-             (1 - OwnPart);
+  double ReportLag = ReportLagSeconds +
+                     LowRateLagSeconds * LowRate / (LowRate + Own) +
+                     ReportAgeWeight * Customer.m_MeanAge;
+  return OwnLagSeconds * OwnPart + ReportLag * (1 - OwnPart);
 }
 
 void CustomerQuotas::advance(Entry &Customer, TimePoint Now) {
@@ -320,7 +326,7 @@
   double Weight = decay(Target.m_SampledAt, Now, SampleSeconds);
   Target.m_SampleCurrent =
       Target.m_SampleCurrent * Weight +
-      std::min(Offered, MaxOwnGrowth * (Peer.m_Usual + GrowthPrior));
+      std::min(Offered, MaxGrowthOfOne * (Peer.m_Usual + GrowthPrior));
   Target.m_SampleUsual = Target.m_SampleUsual * Weight + Peer.m_Usual;
   Target.m_SampledAt = Now;
   Peer.receive(Offered, UsualSeconds, Now);
--- a/src/steer/customer_quota.h
+++ b/src/steer/customer_quota.h
@@ -37,6 +37,12 @@
   /// \brief The rate over some seconds at \p Now, per second.
   [[nodiscard]] double usual(TimePoint Now) const;
 
+  /// \brief Whether arrivals have been counted for long enough to tell a jump
+  /// from the start of the process.
+  [[nodiscard]] bool isEstablished(TimePoint Now) const noexcept {
+    return Now - m_StartedAt >= StartTime;
+  }
+
   /// Time constant of the mean that current() returns for low rates. Summed
   /// over the fleet, its noise is small enough; a longer one reports jumps
   /// later.
@@ -45,6 +51,7 @@
 private:
   static constexpr double FastSeconds = 0.15;
   static constexpr double UsualSeconds = 4;
+  static constexpr Duration StartTime = 8s;
 
   // Per second, at m_UpdatedAt.
   double m_Fast = 0;
