--- a/src/gateway/explain.cpp
+++ b/src/gateway/explain.cpp
@@ -324,14 +324,14 @@
   Shares.deriveMissing(m_Service, m_State.m_Upstreams, Settings.m_Placement,
                        m_Now, Settings.m_LocalShare);
   Shares.recordRequest(m_Service, Settings.m_LocalShare);
-  RoutedRequest Request{*m_State.m_Routes,
-                        *m_Route,
-                        m_Customer,
-                        m_Service,
-                        requestKeyHash(m_Query.m_AffinityKey, ""),
-                        m_Now,
-                        requestPlacementKey(*m_Route, m_Service,
-                                            m_Query.m_AffinityKey)};
+  RoutedRequest Request{
+      *m_State.m_Routes,
+      *m_Route,
+      m_Customer,
+      m_Service,
+      requestKeyHash(m_Query.m_AffinityKey, ""),
+      m_Now,
+      requestPlacementKey(*m_Route, m_Service, m_Query.m_AffinityKey)};
   JudgementLog Log;
   ChoiceInput Input = choiceInput(m_State, Shares, Request, m_Now);
   Input.m_Observer = &Log;
