--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -293,7 +293,7 @@
       m_State, m_State.m_LocalShares,
       {*m_Routes, *m_Route, m_Customer, m_TargetService,
        requestKeyHash(m_Metadata.m_AffinityKey, m_Metadata.m_RequestId),
-       m_ArrivedAt},
+       m_ArrivedAt, placementKey()},
       steadyNow());
   Input.m_Tried = Excluded;
   return Strategy(Input, m_State.m_Upstreams, m_State.m_Settings.m_Placement,
