--- a/src/gateway/explain.cpp
+++ b/src/gateway/explain.cpp
@@ -160,7 +160,9 @@
   void explainRoute();
   void explainCustomer();
   void explainShutdown();
+  void explainQuota();
   void explainService();
+  void explainAdmission();
   void explainChoice();
 
   void addSection(std::string Title, std::vector<std::string> Lines) {
@@ -187,12 +189,12 @@
 };
 
 Explanation Explainer::run() {
-  // In the order of the request path. Quota and admission belong between
-  // customer and shutdown.
+  // In the order of the request path.
   constexpr Step Steps[] = {
       &Explainer::explainVm,       &Explainer::explainConfiguration,
       &Explainer::explainRoute,    &Explainer::explainCustomer,
-      &Explainer::explainShutdown, &Explainer::explainService,
+      &Explainer::explainShutdown, &Explainer::explainQuota,
+      &Explainer::explainService,  &Explainer::explainAdmission,
       &Explainer::explainChoice};
   for (Step Next : Steps) {
     m_Decision.clear();
@@ -287,6 +289,40 @@
     refuse(ErrorKind::Leaving, "leaving, this VM is shutting down");
 }
 
+void Explainer::explainQuota() {
+  if (!m_Customer || !m_Customer->m_Quota.isLimited())
+    return;
+  for (const QuotaStatus &Status : m_State.m_Quotas.status())
+    if (Status.m_Customer == m_Customer->m_Name)
+      addSection("quota",
+                 {format("%.1f requests/s and a burst of %.1f at all VMs",
+                         Status.m_RatePerSecond, m_Customer->m_Quota.m_Burst),
+                  format("estimated demand at all VMs %.1f/s",
+                         Status.m_DemandPerSecond),
+                  format("admitted here: %.0f%% of the requests",
+                         100 * Status.m_AdmittedFraction)});
+}
+
+void Explainer::explainAdmission() {
+  Priority Urgency = m_Customer
+                         ? m_Customer->m_Priority.value_or(m_Route->m_Priority)
+                         : m_Route->m_Priority;
+  m_State.m_Admission.forEach(
+      [&](const ServiceName &Service, const AdmissionControl &Control) {
+        if (Service != m_Service)
+          return;
+        double Refused = Control.refusedPart(Urgency);
+        addSection("admission",
+                   {format("%.0f%% of the service's requests are refused, the "
+                           "least urgent first",
+                           100 * Control.refusedFraction()),
+                    format("of priority %u: %.0f%%", Urgency, 100 * Refused)});
+        if (Refused >= 1)
+          refuse(ErrorKind::NoCapacity,
+                 "shortage, more urgent requests need the room");
+      });
+}
+
 void Explainer::explainService() {
   TrafficSplitter Splitter = m_State.m_TrafficSplit;
   m_Service = Splitter.next(*m_Route);
--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -45,9 +45,12 @@
 }
 
 bool AdmissionControl::admits(Priority Urgency, std::uint64_t Hash) const {
+  return position(Hash, AdmissionSalt) >= refusedPart(Urgency);
+}
+
+double AdmissionControl::refusedPart(Priority Urgency) const {
   auto Found = m_Priorities.find(Urgency);
-  return Found == m_Priorities.end() ||
-         position(Hash, AdmissionSalt) >= Found->second.m_RefusedPart;
+  return Found == m_Priorities.end() ? 0 : Found->second.m_RefusedPart;
 }
 
 Duration AdmissionControl::retryAfter(Priority Urgency, std::uint64_t Hash,
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -84,6 +84,8 @@
   /// \param Hash Of its identifier; decides within the priority that is refused
   /// in part.
   [[nodiscard]] bool admits(Priority Urgency, std::uint64_t Hash) const;
+  /// \brief Fraction of the requests of this priority that admits() refuses.
+  [[nodiscard]] double refusedPart(Priority Urgency) const;
   /// \brief When the caller of a refused request may return: spread over an
   /// interval that grows with the fraction and is longer for less urgent
   /// requests.
--- a/src/steer/key_placement.h
+++ b/src/steer/key_placement.h
@@ -1,6 +1,6 @@
 /// \file
-/// Which upstreams hold a key, as far as this VM knows, and what a request costs
-/// at one that holds its key and at one that doesn't.
+/// Which upstreams hold a key, as far as this VM knows, and what a request
+/// costs at one that holds its key and at one that doesn't.
 #pragma once
 
 #include "steer/upstream.h"
