--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -30,7 +30,7 @@
   double m_MoveRisk = 0.13;
   /// No key moves while the upstreams of the first tier have more keys than
   /// this each: they may have to evict one for it.
-  double m_MaxKeysPerUpstream = 8;
+  double m_MaxKeysPerUpstream = 5;
   /// No key moves to an upstream with a larger risk of late answers: while all
   /// are short of room, moves only have keys evicted.
   double m_MaxMoveTargetRisk = 0.1;
--- a/src/steer/customer_quota.cpp
+++ b/src/steer/customer_quota.cpp
@@ -20,6 +20,12 @@
 /// more in a jump.
 constexpr double NoiseRequests = 8;
 constexpr double NoisePerRootOfRate = 2;
+/// This time's requests of the rate are left out of the bucket: in a jump of a
+/// large customer, VMs admit them before they hear from each other. Without it,
+/// 5 s of such a jump passed the requirement by up to a hundredth.
+constexpr double DetectionSeconds = 0.2;
+/// The smallest part of a burst that stays in the bucket.
+constexpr double MinBurstFraction = 0.5;
 /// Requests admitted beyond the quota are made up for in about this time; less
 /// than the 5 s over which the requirement counts.
 constexpr double RepaySeconds = 0.7;
@@ -171,7 +177,9 @@
       (Rate * AllowedSeconds + Burst) * AllowedFraction + AllowedRequests;
   double Extra = std::min(Allowance * DepthFractionOfAllowance,
                           NoiseRequests + NoisePerRootOfRate * std::sqrt(Rate));
-  return (Burst + Extra) * m_ReachableFraction;
+  double Usable =
+      std::max(Burst - Rate * DetectionSeconds, Burst * MinBurstFraction);
+  return (Usable + Extra) * m_ReachableFraction;
 }
 
 double CustomerQuotas::minLevel(const Entry &Customer) const noexcept {
