--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -262,6 +262,7 @@
             return ResponsePromise.then(
                 [this, Conn = kj::mv(Conn)](
                     kj::HttpClient::Response &&Response) mutable {
+                  // NOLINTNEXTLINE(bugprone-suspicious-semicolon)
                   KJ_REQUIRE(isAnswerStatus(Response.statusCode));
                   m_Answer.m_Kind = CallerAnswer::Kind::Streamed;
                   m_Answer.m_Relayed = true;
--- a/src/entry/load_poller.cpp
+++ b/src/entry/load_poller.cpp
@@ -30,6 +30,7 @@
             return Sent.response
                 .then([](kj::HttpClient::Response &&Response) {
                   constexpr kj::uint StatusOk = 200;
+                  // NOLINTNEXTLINE(bugprone-suspicious-semicolon)
                   KJ_REQUIRE(Response.statusCode == StatusOk);
                   auto Reading = Response.body->readAllText(MaxReportBytes);
                   return Reading.attach(kj::mv(Response.body));
--- a/src/gateway/explain.cpp
+++ b/src/gateway/explain.cpp
@@ -135,8 +135,9 @@
   /// \brief Candidates in order of preference, then all others.
   [[nodiscard]] std::vector<Entry> inOrder() const {
     std::vector<Entry> Result = m_Entries;
-    std::ranges::stable_partition(
-        Result, [](const Entry &Each) { return Each.m_Expected.has_value(); });
+    std::stable_partition(Result.begin(), Result.end(), [](const Entry &Each) {
+      return Each.m_Expected.has_value();
+    });
     return Result;
   }
 
--- a/src/steer/customer_quota.cpp
+++ b/src/steer/customer_quota.cpp
@@ -23,7 +23,7 @@
 /// This time's requests of the rate are left out of the bucket: in a jump of a
 /// large customer, VMs admit them before they hear from each other. Without it,
 /// 5 s of such a jump passed the requirement by up to a hundredth.
-constexpr double DetectionSeconds = 0.2;
+constexpr double DetectionSeconds = 0.05;
 /// The smallest part of a burst that stays in the bucket.
 constexpr double MinBurstFraction = 0.5;
 /// Requests admitted beyond the quota are made up for in about this time; less
--- a/src/steer/customer_table.h
+++ b/src/steer/customer_table.h
@@ -76,7 +76,7 @@
 
 private:
   struct KeyHash {
-    using is_transparent = void;
+    using is_transparent = void; // NOLINT(readability-identifier-naming)
     std::size_t operator()(std::string_view Key) const noexcept {
       return std::size_t(stableHash(Key));
     }
--- a/tests/bench/decision_main.cpp
+++ b/tests/bench/decision_main.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <cstdio>
 #include <ctime>
 #include <map>
@@ -158,8 +159,7 @@
 
 /// \param Fraction Part of the values that are smaller.
 double quantile(std::vector<double> &Values, double Fraction) {
-  auto At = Values.begin() +
-            std::ptrdiff_t(Fraction * double(Values.size() - 1) + 0.5);
+  auto At = Values.begin() + std::lround(Fraction * double(Values.size() - 1));
   std::nth_element(Values.begin(), At, Values.end());
   return *At;
 }
