--- a/tests/soak/local_deployment.h
+++ b/tests/soak/local_deployment.h
@@ -10,6 +10,7 @@
 #include "soak/link_proxy.h"
 #include "soak/upstream_standin.h"
 #include "support/process.h"
+
 #include "json/json.h"
 
 #include <deque>
