One copy of isSuccess() and isServerError()

Cause: both stood in two files of the gateway. No behaviour changes; the suites of customers, statuses, uploads, placement and exchanges pass.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -10,6 +10,13 @@
 
 namespace mustardspoke::steer {
 
+[[nodiscard]] constexpr bool isSuccess(unsigned Status) noexcept {
+  return Status >= 200 && Status < 300;
+}
+[[nodiscard]] constexpr bool isServerError(unsigned Status) noexcept {
+  return Status >= 500;
+}
+
 /// \brief Result of one attempt at an upstream.
 enum class AttemptResult : std::uint8_t {
   Answered, ///< The whole response is kept for the caller.
--- a/src/gateway/exchange_outcome.cpp
+++ b/src/gateway/exchange_outcome.cpp
@@ -19,9 +19,6 @@
 /// An opening that was given less time is no evidence of lost links.
 constexpr Duration MinOpeningTime = 200ms;
 
-bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
-bool isServerError(unsigned Status) { return Status >= 500; }
-
 } // namespace
 
 void Exchange::applyMetadata(Upstream &Target,
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -22,8 +22,6 @@
 /// on the longest path, twice.
 constexpr Duration RestOfMessageTime = 220ms;
 
-bool isServerError(unsigned Status) { return Status >= 500; }
-bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 /// \brief Whether \p Status tells a caller that its request has not run.
 bool meansNotRun(unsigned Status) {
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
