--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -56,7 +56,7 @@
   unsigned m_Waiting = 0;
   unsigned m_Slots = 0;
   /// Time that work takes on its machine now, relative to the usual one; none
-  /// if it doesn't tell.
+  /// if it doesn't report it.
   std::optional<double> m_Pace;
 
   [[nodiscard]] bool hasNoFreeSlot() const noexcept {
@@ -169,7 +169,7 @@
   /// \brief Mean load over the last seconds, in requests.
   [[nodiscard]] double meanLoad() const noexcept { return m_MeanLoad; }
   /// \brief Time that work takes there now, relative to the usual one; 1 if it
-  /// doesn't tell, or told it too long ago.
+  /// doesn't report it, or did so too long ago.
   [[nodiscard]] double pace(TimePoint Now,
                             const UpstreamHealthTuning &Tuning) const noexcept;
   /// \brief Whether it is still warming up.
