--- a/src/steer/key_placement.h
+++ b/src/steer/key_placement.h
@@ -33,10 +33,10 @@
 /// \brief Remembers to which upstreams this VM has lately sent the requests of
 /// each key, and counts the keys of each service.
 ///
-/// \details An upstream keeps a limited number of keys, which it doesn't report:
-/// a key counts as held for a short time after a request. The table has a fixed
-/// size, and a newer key replaces an older one in its slot; a key that is
-/// dropped is placed anew, which costs one request more time.
+/// \details An upstream keeps a limited number of keys, which it doesn't
+/// report: a key counts as held for a short time after a request. The table has
+/// a fixed size, and a newer key replaces an older one in its slot; a key that
+/// is dropped is placed anew, which costs one request more time.
 class KeyPlacement {
 public:
   /// Within this time after a request, most upstreams still hold its key.
