--- a/review/support-2/lab.cpp
+++ b/review/support-2/lab.cpp
@@ -168,7 +168,7 @@
   RecordFile = std::fopen(Path.c_str(), "w");
 }
 
-void Record::line(const std::string &Text) {
+void Record::write(const std::string &Text) {
   std::scoped_lock Lock(RecordMutex);
   if (!RecordFile)
     return;
--- a/review/support-2/lab.h
+++ b/review/support-2/lab.h
@@ -33,7 +33,13 @@
 class Record {
 public:
   static void open(const std::string &Path);
-  static void line(const std::string &Text);
+  static void write(const std::string &Text);
+  /// \brief A line that consists of several texts.
+  template <class... Parts> static void line(const Parts &...Each) {
+    std::string Text;
+    (Text.append(Each), ...);
+    write(Text);
+  }
 };
 
 /// \brief A connected socket, closed by the destructor.
