--- a/review/7/long_refusal.cpp
+++ b/review/7/long_refusal.cpp
@@ -16,8 +16,9 @@
 constexpr int DeadlineMs = 1500;
 constexpr int ServerCount = 6;
 constexpr int FaultyServer = 3;
-/// Each of so many of its answers is a faulty one.
+/// Each of so many of its answers is a faulty one, for a time.
 constexpr int FaultInterval = 50;
+constexpr std::int64_t FaultsForMs = 5500;
 constexpr std::size_t LongBody = 700000;  // bytes
 constexpr std::size_t ShortBody = 2000;   // bytes
 constexpr std::size_t PieceBytes = 32768; // of a body without end
@@ -32,6 +33,7 @@
 std::atomic<int> Broken[3];
 std::atomic<int> Sent[3];
 std::atomic<int> Statuses[600];
+std::atomic<std::int64_t> FaultsUntil{0};
 
 /// \returns Whether the connection can go on.
 bool answerBadly(Socket &To, const std::string &Id, Fault Kind) {
@@ -61,7 +63,7 @@
     }
     Record::line("server ", Name, " runs ", Id);
     sleepMs(20);
-    int Number = IsFaulty ? ++Answers : 0;
+    int Number = IsFaulty && nowMs() < FaultsUntil ? ++Answers : 0;
     if (Number > 0 && Number % FaultInterval == 0) {
       auto Kind = Fault(Number / FaultInterval % 3);
       Record::line("server ", Name, " has run ", Id, " and answers 503 with ",
@@ -137,6 +139,9 @@
   if (!Vm.waitReady(15000))
     return 2;
   sleepMs(3000);
+  // In touch for longer than `contact` before the faults begin.
+  sleepMs(2000);
+  FaultsUntil = nowMs() + FaultsForMs;
   std::vector<std::thread> Clients;
   for (int I = 0; I < RequestCount; ++I) {
     Clients.emplace_back(call, Vm.callers(), I);
--- a/review/support-2/lab.cpp
+++ b/review/support-2/lab.cpp
@@ -584,13 +584,12 @@
 
 std::vector<int> freePorts(std::size_t Count) {
   std::vector<int> Result;
-  std::vector<Socket> Held;
+  // Held until all are found, so that they differ.
+  std::vector<std::unique_ptr<Listener>> Held;
   while (Result.size() < Count) {
-    Socket Probe(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    // Listening for all addresses shows that the port is free on each.
-    Listener Free("0.0.0.0", [](Socket &) {});
-    Result.push_back(std::atoi(&Free.address()[Free.address().rfind(':') + 1]));
-    Held.push_back(std::move(Probe));
+    Held.push_back(std::make_unique<Listener>("127.0.1.1", [](Socket &) {}));
+    const std::string &Address = Held.back()->address();
+    Result.push_back(std::atoi(&Address[Address.rfind(':') + 1]));
   }
   return Result;
 }
