Gateway: an answer whose connection broke during the request isn't complete

What callers saw: an upstream answered an upload at once with a signed 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as the whole answer; over a peer, too.

Cause: the system reports a reset, or a timeout, to one call only. While the request is being written, a write and a read are pending on the connection. The event loop tries the write first; it takes the error, and the read finds the end of the stream, which completes a body without a length. BodySender dropped what its write had met.

Change: all reads and writes of an upstream's or a peer's connection go through UpstreamConnection. It keeps the error of a write, and read() returns it in place of the end of the stream. After an orderly end of the stream the system fails writes with EPIPE instead, so that an upstream that ends its answer and closes without reading the rest of a request is still served; the state of the TCP connection (TCP_INFO), the alternative, doesn't tell these apart.

--- a/src/gateway/body_sender.cpp
+++ b/src/gateway/body_sender.cpp
@@ -4,8 +4,6 @@
 
 #include "gateway/task.h"
 
-#include <boost/asio/write.hpp>
-
 namespace mustardspoke::steer {
 namespace {
 
@@ -52,7 +50,7 @@
       if (Body.isComplete() && !Chunked)
         co_return true;
       if (Body.isComplete())
-        co_return co_await write(LastChunk);
+        co_return !co_await m_Connection->write(LastChunk);
       if (m_Caller->disconnected())
         co_return false;
       co_await m_Caller->waitForBody();
@@ -61,7 +59,7 @@
     std::size_t Taken = Bytes.size();
     if (Chunked)
       Bytes = chunkHeader(Taken).append(Bytes).append(ChunkEnd);
-    if (!co_await write(Bytes))
+    if (co_await m_Connection->write(Bytes))
       co_return false;
     if (Body.advance(Taken))
       ++m_Buffers.m_Counters.m_Unretained;
@@ -71,14 +69,6 @@
   co_return false;
 }
 
-awaitable<bool> BodySender::write(std::string_view Bytes) {
-  NetError Error;
-  co_await asio::async_write(m_Connection->m_Socket,
-                             asio::buffer(Bytes.data(), Bytes.size()),
-                             noThrow(Error));
-  co_return !Error;
-}
-
 awaitable<void> BodySender::stop() {
   BodySenderPtr Self(this);
   m_Stops = true;
--- a/src/gateway/body_sender.h
+++ b/src/gateway/body_sender.h
@@ -33,7 +33,6 @@
   void end();
   /// \returns Whether all of it was sent.
   awaitable<bool> sendAll();
-  awaitable<bool> write(std::string_view Bytes);
   void abort();
 
   asio::io_context &m_Io;
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -4,8 +4,6 @@
 
 #include "observe/log.h"
 
-#include <boost/asio/write.hpp>
-
 namespace mustardspoke::steer {
 namespace {
 
@@ -91,12 +89,9 @@
   m_Outcome.m_SentAt = steadyNow();
   if (!m_Connection->isToPeer())
     m_WaitGuard.emplace(m_State.m_OwnLinks);
-  NetError Error;
   UpstreamConnectionPtr Connection = m_Connection;
   Connection->m_RequestUnanswered = true;
-  co_await asio::async_write(Connection->m_Socket, asio::buffer(Bytes),
-                             noThrow(Error));
-  if (Error) {
+  if (NetError Error = co_await Connection->write(Bytes)) {
     m_Outcome.m_Error = Error;
     co_return false;
   }
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -42,8 +42,7 @@
     if (Parser.parseError() != HttpParseError::None || Parser.done())
       co_return false;
     NetError Error;
-    std::size_t BytesRead = co_await Connection->m_Socket.async_read_some(
-        asio::buffer(Buffer), noThrow(Error));
+    std::size_t BytesRead = co_await Connection->read(Buffer, Error);
     Connection->m_Input.append(Buffer, 0, BytesRead);
     if (BytesRead > 0 && !Connection->isToPeer())
       m_State.m_OwnLinks.recordAnswer();
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -2,6 +2,8 @@
 /// Opening, reusing and closing connections.
 #include "gateway/upstream_pool.h"
 
+#include <boost/asio/write.hpp>
+
 #include <algorithm>
 
 namespace mustardspoke::steer {
@@ -28,6 +30,30 @@
   enableKeepAlive(m_Socket);
 }
 
+awaitable<NetError> UpstreamConnection::write(std::string_view Bytes) {
+  UpstreamConnectionPtr Self(this);
+  NetError Error;
+  co_await asio::async_write(m_Socket, asio::buffer(Bytes.data(), Bytes.size()),
+                             noThrow(Error));
+  if (Error && !m_WriteError)
+    m_WriteError = Error;
+  co_return Error;
+}
+
+awaitable<std::size_t> UpstreamConnection::read(std::span<char> Buffer,
+                                                NetError &Error) {
+  UpstreamConnectionPtr Self(this);
+  std::size_t BytesRead = co_await m_Socket.async_read_some(
+      asio::buffer(Buffer.data(), Buffer.size()), noThrow(Error));
+  // After an orderly end of the stream, a reset fails writes with EPIPE
+  // instead: the upstream has closed without reading all of the request.
+  bool BrokeOff = m_WriteError && m_WriteError != asio::error::broken_pipe;
+  // A write that is completed by the same event is handled before the read.
+  if (Error == asio::error::eof && BrokeOff)
+    Error = m_WriteError;
+  co_return BytesRead;
+}
+
 bool UpstreamConnection::maySend(std::uint64_t RequestHash) const {
   return std::ranges::find(m_Refused, RequestHash) == m_Refused.end();
 }
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -8,6 +8,8 @@
 
 #include <map>
 #include <memory>
+#include <span>
+#include <string_view>
 #include <vector>
 
 namespace mustardspoke::steer {
@@ -40,6 +42,14 @@
     return !m_PeerIsWatched && m_Refused.size() < MaxRefusals;
   }
 
+  /// \brief Writes all of \p Bytes. A read may be pending meanwhile.
+  awaitable<NetError> write(std::string_view Bytes);
+  /// \brief Reads some bytes. A write may be pending meanwhile.
+  /// \param Error Set if the stream has ended; asio::error::eof only if the
+  /// other side has ended it in order, else why it broke off.
+  /// \returns The number of bytes read.
+  awaitable<std::size_t> read(std::span<char> Buffer, NetError &Error);
+
   /// \brief Lets the system end the connection if the other side vanishes. It
   /// isn't reused then.
   /// \pre The other side has received the request.
@@ -59,6 +69,9 @@
   static constexpr std::size_t MaxRefusals = 16;
 
   bool m_PeerIsWatched = false;
+  /// Of a write. The system reports the cause of a broken connection to one
+  /// call only; if that was a write, a read finds the end of the stream.
+  NetError m_WriteError;
   std::vector<std::uint64_t> m_Refused; ///< See noteRefusal().
 };
 
--- a/tests/support/server_side.cpp
+++ b/tests/support/server_side.cpp
@@ -99,6 +99,11 @@
   co_await asio::async_write(m_Socket, asio::buffer(Bytes), noThrow(Ignored));
 }
 
+void ServerSide::shutdownSend() {
+  NetError Ignored;
+  m_Socket.shutdown(Tcp::socket::shutdown_send, Ignored);
+}
+
 void ServerSide::close() {
   NetError Ignored;
   m_Socket.close(Ignored);
--- a/tests/support/server_side.h
+++ b/tests/support/server_side.h
@@ -57,6 +57,8 @@
     return steer::sleepFor(m_Io, Span);
   }
 
+  /// \brief Ends the stream in order; requests may still be read.
+  void shutdownSend();
   void close();
   /// \brief Closes with a reset instead of an orderly end.
   void reset();
