Entry: an answer whose connection broke during the request isn't complete

What callers saw: an upstream, or the owner of a ticket, answered an upload early without a length and reset the connection. If the event loop of the entry VM was late just then, the part that had arrived was passed on as the whole answer; with a ticket it would be kept, and given again.

Cause: as in the gateway, the system reports the reset to one call only. On a late loop the write of the request takes it, CallFlow drops the writer's exception, and kj's client takes the end of the stream for that of the body.

Change: kj's HTTP client reads from an AnswerStream, in the connection pool, the load poller and the command line. At the end of the stream it asks the system for the state of the connection, and fails unless the server has ended its stream in order. kj hands no error codes on, so that the gateway's way isn't open here; that the end of a stream counts as a received byte tells a reset after an orderly end from one without.

Controls: early answers that end in order, also before a reset, are whole.

--- a/src/cli/caller.cpp
+++ b/src/cli/caller.cpp
@@ -2,6 +2,7 @@
 /// Client side of look-ups and calls.
 #include "cli/caller.h"
 
+#include "entry/answer_stream.h"
 #include "entry/headers.h"
 #include "json/json.h"
 
@@ -21,7 +22,7 @@
                       const std::string &Address)
       : m_Wait(Io.waitScope), m_Table(Table) {
     auto Parsed = Io.provider->getNetwork().parseAddress(Address).wait(m_Wait);
-    m_Stream = Parsed->connect().wait(m_Wait);
+    m_Stream = kj::heap<AnswerStream>(Parsed->connect().wait(m_Wait));
     m_Client = kj::newHttpClient(*Table.m_Table, *m_Stream);
   }
 
@@ -71,7 +72,7 @@
 
   kj::WaitScope &m_Wait;
   const HeaderTable &m_Table;
-  kj::Own<kj::AsyncIoStream> m_Stream;
+  kj::Own<AnswerStream> m_Stream;
   kj::Own<kj::HttpClient> m_Client;
 };
 
--- a/src/entry/connections.cpp
+++ b/src/entry/connections.cpp
@@ -39,7 +39,7 @@
       .then([this, Address](kj::Own<kj::AsyncIoStream> Stream) {
         auto Opened = kj::heap<Connection>();
         Opened->m_Address = Address;
-        Opened->m_Stream = kj::mv(Stream);
+        Opened->m_Stream = kj::heap<AnswerStream>(kj::mv(Stream));
         setAbortOnClose(*Opened->m_Stream, true);
         Opened->m_Client = kj::newHttpClient(m_Table, *Opened->m_Stream);
         return Opened;
--- a/src/entry/connections.h
+++ b/src/entry/connections.h
@@ -2,6 +2,8 @@
 /// Connection pool of one worker, to upstreams and other entry VMs.
 #pragma once
 
+#include "entry/answer_stream.h"
+
 #include <kj/async-io.h>
 #include <kj/compat/http.h>
 #include <kj/timer.h>
@@ -16,7 +18,7 @@
 /// \brief One connection and the HTTP client that uses it.
 struct Connection {
   std::string m_Address;
-  kj::Own<kj::AsyncIoStream> m_Stream;
+  kj::Own<AnswerStream> m_Stream;
   kj::Own<kj::HttpClient> m_Client;
   kj::TimePoint m_IdleSince = kj::origin<kj::TimePoint>();
   bool m_Reused = false;
--- a/src/entry/load_poller.cpp
+++ b/src/entry/load_poller.cpp
@@ -2,6 +2,8 @@
 /// Requests load reports, each over its own connection.
 #include "entry/load_poller.h"
 
+#include "entry/answer_stream.h"
+
 #include <kj/debug.h>
 
 namespace mustardspoke {
@@ -22,7 +24,8 @@
             auto Connecting = Parsed->connect();
             return Connecting.attach(kj::mv(Parsed));
           })
-          .then([this](kj::Own<kj::AsyncIoStream> Stream) {
+          .then([this](kj::Own<kj::AsyncIoStream> Socket) {
+            auto Stream = kj::heap<AnswerStream>(kj::mv(Socket));
             auto Client = kj::newHttpClient(*m_Headers.m_Table, *Stream);
             kj::HttpHeaders RequestHeaders(*m_Headers.m_Table);
             auto Sent = Client->request(kj::HttpMethod::GET, "/load",
