Entry: an answer with a malformed line in its head is no answer

What callers saw: an answer of an upstream, of another entry VM or of an upstream's load report whose head held a name with a blank before the colon was taken for one, and the line passed on under the name without the blank. A blank in "Content-Length : 2", or a bare CR in a value before that field, delimited a body that wasn't the server's. The same at the command line.

Cause: kj's HTTP client skips blanks before the colon and takes a bare CR for the end of a line. Bytes from 0x80 on in a name are let through.

Change: AnswerStream checks the lines of each head as its bytes arrive, before kj parses them: names are tokens that the colon follows at once, no control characters but tabs, no continuation of nothing. A call with such an answer is lost, as one with an invalid status is.

Handled before, kept as tests: status 000 in an upstream's answer to an entry VM (the same process test). Controls: unusual valid names, values and folded lines pass.

--- a/src/entry/answer_stream.cpp
+++ b/src/entry/answer_stream.cpp
@@ -1,9 +1,12 @@
 /// \file
-/// The check of the end of a stream.
+/// Checks of heads and of the end of a stream.
 #include "entry/answer_stream.h"
 
 #include <kj/debug.h>
 
+#include <string_view>
+#include <utility>
+
 #include <linux/tcp.h>
 #include <netinet/in.h>
 
@@ -13,13 +16,64 @@
 /// TCP_CLOSE of <netinet/tcp.h>, whose tcp_info lacks the number of bytes.
 constexpr unsigned StateClosed = 7;
 
+bool isTokenCharacter(char Character) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return (Character >= '0' && Character <= '9') ||
+         (Character >= 'A' && Character <= 'Z') ||
+         (Character >= 'a' && Character <= 'z') ||
+         Marks.find(Character) != std::string_view::npos;
+}
+
+bool isControlCharacter(char Character) {
+  auto Byte = static_cast<unsigned char>(Character);
+  return (Byte < 0x20 && Character != '\t') || Byte == 0x7f;
+}
+
 } // namespace
 
+bool HeadCheck::feed(std::span<const char> Bytes) {
+  for (char Character : Bytes) {
+    if (m_State == State::Done || m_State == State::Malformed)
+      break;
+    m_State = next(Character);
+  }
+  return m_State != State::Malformed;
+}
+
+HeadCheck::State HeadCheck::next(char Character) {
+  bool EndsLine = Character == '\n';
+  if (std::exchange(m_AfterCr, Character == '\r') && !EndsLine)
+    return State::Malformed;
+  if (m_AfterCr)
+    return m_State == State::Name ? State::Malformed : m_State;
+  if (m_State == State::LineStart)
+    return nextAtLineStart(Character);
+  if (m_State == State::Name && Character == ':')
+    return State::Value;
+  if (m_State == State::Name)
+    return isTokenCharacter(Character) ? State::Name : State::Malformed;
+  if (EndsLine)
+    return State::LineStart;
+  return isControlCharacter(Character) ? State::Malformed : m_State;
+}
+
+HeadCheck::State HeadCheck::nextAtLineStart(char Character) {
+  if (Character == '\n')
+    return State::Done;
+  bool ContinuesField = Character == ' ' || Character == '\t';
+  if (ContinuesField)
+    return m_HasField ? State::Value : State::Malformed;
+  m_HasField = true;
+  return isTokenCharacter(Character) ? State::Name : State::Malformed;
+}
+
 kj::Promise<std::size_t> AnswerStream::tryRead(void *Buffer,
                                                std::size_t MinBytes,
                                                std::size_t MaxBytes) {
   return m_Socket->tryRead(Buffer, MinBytes, MaxBytes)
-      .then([this, MinBytes](std::size_t Count) {
+      .then([this, Buffer, MinBytes](std::size_t Count) {
+        KJ_REQUIRE(m_Head.feed({static_cast<const char *>(Buffer), Count}),
+                   "answer with a malformed head");
         m_BytesRead += Count;
         if (Count < MinBytes)
           checkEnd();
--- a/src/entry/connections.cpp
+++ b/src/entry/connections.cpp
@@ -28,6 +28,7 @@
     if (m_Timer.now() - Last->m_IdleSince > MaxIdleTime)
       continue;
     Last->m_Reused = true;
+    Last->m_Stream->beginAnswer();
     setAbortOnClose(*Last->m_Stream, true);
     return kj::mv(Last);
   }
--- a/tests/processes/fault_test.cpp
+++ b/tests/processes/fault_test.cpp
@@ -309,4 +309,25 @@
   BOOST_TEST(Cluster.runCount("half") == 1U);
 }
 
+// The upstream has run the booking; what its answer says is unknown, and isn't
+// kept for the ticket.
+BOOST_AUTO_TEST_CASE(MalformedAnswerIsUnknown) {
+  TestCluster Cluster({.m_PortBase = 27300, .m_ProxyOrderUpstream = true});
+  Cluster.acceptFirstBundle();
+  for (const char *Mode : {"bad-status", "bad-field"}) {
+    Cluster.setProxyMode("orders", Mode);
+    std::string Ticket = Cluster.ticketOwnedBy(0);
+    CallerResult Got =
+        Cluster.bookOrder(Cluster.callerAddress(0), Ticket, Mode);
+    BOOST_TEST(Got.m_Status == 502U, Mode);
+    BOOST_TEST(Got.m_Outcome == "unknown", Mode);
+    Cluster.setProxyMode("orders", "pass");
+    for (unsigned Vm : {0U, 1U}) {
+      Got = Cluster.bookOrder(Cluster.callerAddress(Vm), Ticket, Mode);
+      BOOST_TEST(Got.m_Outcome == "unknown", Mode);
+    }
+    BOOST_TEST(Cluster.runCount(Mode) == 1U, Mode);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/proxy_main.cpp
+++ b/tests/standins/proxy_main.cpp
@@ -9,6 +9,8 @@
 ///   cut          closes all connections and refuses new ones
 ///   lose-answers forwards requests, closes when the answer begins
 ///   half-close   shuts down the direction to the caller only
+///   bad-status   forwards answers with the status 000
+///   bad-field    forwards answers with a blank in a field's name
 #include "http/http.h"
 #include "json/json.h"
 
@@ -16,9 +18,11 @@
 #include <kj/debug.h>
 #include <kj/timer.h>
 
+#include <algorithm>
 #include <iostream>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace mustardspoke {
 namespace {
@@ -32,6 +36,14 @@
   unsigned m_Epoch = 0; ///< Incremented by every change.
 };
 
+/// \brief Replaces the first \p Old in \p Bytes by \p New, of the same length.
+void replaceFirst(kj::ArrayPtr<kj::byte> Bytes, std::string_view Old,
+                  std::string_view New) {
+  auto Found = std::search(Bytes.begin(), Bytes.end(), Old.begin(), Old.end());
+  if (Found != Bytes.end())
+    std::copy(New.begin(), New.end(), Found);
+}
+
 class ModeControl {
 public:
   HttpResponse serve(const HttpRequest &Request) {
@@ -124,6 +136,10 @@
       Destination.shutdownWrite();
       return kj::NEVER_DONE;
     }
+    if (Current.m_Name == "bad-status" && IsAnswer)
+      replaceFirst(Bytes.slice(0, Count), "HTTP/1.1 200", "HTTP/1.1 000");
+    if (Current.m_Name == "bad-field" && IsAnswer)
+      replaceFirst(Bytes.slice(0, Count), "Content-Type:", "Content-Typ :");
     auto Delay = Current.m_Name == "delay" ? Current.m_Millis * kj::MILLISECONDS
                                            : 0 * kj::MILLISECONDS;
     return m_Timer.afterDelay(Delay).then(
--- a/tests/unit/invalid_field_test.cpp
+++ b/tests/unit/invalid_field_test.cpp
@@ -5,6 +5,8 @@
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
+#include "cli/caller.h"
+#include "entry/connections.h"
 #include "gateway/http_client.h"
 #include "http/http.h"
 #include "support/cut_gateway.h"
@@ -145,6 +147,33 @@
   return httpExchange(Server.address(), {"GET", "/x", "", "", ""}, 1000);
 }
 
+CallerResult callFromCommandLine(const std::string &Answer) {
+  RawServer Server(Answer);
+  return sendCall(Server.address(), "/x", "", "");
+}
+
+/// \brief A call of an entry VM to an upstream. \returns The body, or nothing
+/// without a whole answer.
+std::optional<std::string> callFromEntry(const std::string &Answer) {
+  RawServer Server(Answer);
+  kj::AsyncIoContext Io = kj::setupAsyncIo();
+  kj::HttpHeaderTable Table;
+  ConnectionPool Pool(Io.provider->getNetwork(), Io.provider->getTimer(),
+                      Table);
+  std::optional<std::string> Body;
+  (void)kj::runCatchingExceptions([&] {
+    kj::Own<Connection> Conn =
+        Pool.connect(Server.address(), true).wait(Io.waitScope);
+    kj::HttpClient::Response Response =
+        Conn->m_Client
+            ->request(kj::HttpMethod::GET, "/x", kj::HttpHeaders(Table),
+                      std::uint64_t(0))
+            .response.wait(Io.waitScope);
+    Body = Response.body->readAllText().wait(Io.waitScope).cStr();
+  });
+  return Body;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(InvalidFields)
@@ -206,4 +235,27 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(CallOfEntryHasNoAnswer) {
+  forEachInvalidAnswer([](const std::string &Answer) {
+    BOOST_TEST(!callFromEntry(Answer).has_value());
+  });
+  forEachValidAnswer([](const std::string &Answer) {
+    BOOST_TEST(callFromEntry(Answer).value_or("none") == "body");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(CallFromTheCommandLineHasNoAnswer) {
+  forEachInvalidAnswer([](const std::string &Answer) {
+    CallerResult Got = callFromCommandLine(Answer);
+    BOOST_TEST(Got.m_Status == 0U);
+    BOOST_TEST(!Got.m_IsComplete);
+    BOOST_TEST(!Got.m_Error.empty());
+  });
+  forEachValidAnswer([](const std::string &Answer) {
+    CallerResult Got = callFromCommandLine(Answer);
+    BOOST_TEST(Got.m_IsComplete);
+    BOOST_TEST(Got.m_BodyStart == "body");
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
