Tests: resets at the store and at peers, invalid statuses at the command line

The gateway's client of the store writes first and reads then, so that each reset is reported to the call that is pending; so do the readers of peers' rows, which end their request first. An early answer of the store that ends in order is whole. The command line rejects statuses that aren't of HTTP.

--- a/tests/unit/broken_stream_test.cpp
+++ b/tests/unit/broken_stream_test.cpp
@@ -6,6 +6,7 @@
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
+#include "gateway/http_client.h"
 #include "support/cut_gateway.h"
 
 #include <boost/asio/write.hpp>
@@ -179,6 +180,24 @@
   return DuplexCaller(G.m_Rig, uploadRequest(Path)).receive();
 }
 
+/// \brief A call of the store with a body of \p CallBytes.
+HttpResponse callStore(const Script &Behaviour, std::size_t CallBytes) {
+  ExchangeRig R;
+  R.upstream("store", Behaviour);
+  R.useSmallSegments("store");
+  HttpClientConnection Client(
+      R.m_Io, R.m_State.m_Upstreams.find("store")->m_Registration.m_Address,
+      1s);
+  std::optional<HttpResponse> Response;
+  spawn(R.m_Io, [&]() -> awaitable<void> {
+    Response =
+        co_await Client.call("POST", "/x", std::string(CallBytes, 'u'), 2s);
+  });
+  while (!Response)
+    R.m_Io.run_one();
+  return *Response;
+}
+
 /// \brief Calls \p Check(Path, AnswerBytes) for each route and size.
 template <class Function> void forEachUpload(Function Check) {
   for (const char *Path : Paths)
@@ -307,4 +326,31 @@
     }
 }
 
+// The client of the store writes first and reads then; each reset is reported
+// to the call that is pending.
+BOOST_AUTO_TEST_CASE(ResetBreaksTheAnswerOfTheStore) {
+  for (const Framing &Form : Framings)
+    for (std::size_t CallBytes : {std::size_t(0), UploadBytes}) {
+      HttpResponse Got =
+          callStore(resetAfter(answerPart(Form, AnswerSizes[0])), CallBytes);
+      BOOST_TEST(bool(Got.m_Error), Form.m_Name << ", call of " << CallBytes);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnswerOfTheStoreThatEndsInOrderIsWhole) {
+  for (std::size_t CallBytes : {std::size_t(0), UploadBytes}) {
+    HttpResponse Got = callStore(
+        [](ServerSide &Side) -> awaitable<void> {
+          (void)co_await Side.readHead();
+          co_await Side.sendRaw(answerPart(WithoutLength, AnswerSizes[0]));
+          Side.shutdownSend();
+          while (co_await Side.readMore()) {
+          }
+        },
+        CallBytes);
+    BOOST_TEST(!Got.m_Error, "call of " << CallBytes);
+    BOOST_TEST(Got.m_Body.size() == AnswerSizes[0]);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/invalid_status_test.cpp
+++ b/tests/unit/invalid_status_test.cpp
@@ -4,6 +4,7 @@
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
+#include "cli/caller.h"
 #include "gateway/http_client.h"
 #include "http/http.h"
 #include "support/cut_gateway.h"
@@ -258,4 +259,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(CallFromTheCommandLineWithAnInvalidStatusHasNoAnswer) {
+  for (const char *Status : InvalidStatuses) {
+    RawServer Server("HTTP/1.1 " + std::string(Status) +
+                     " Odd\r\nContent-Length: 2\r\n\r\n{}");
+    CallerResult Got = sendCall(Server.address(), "/x", "", "");
+    BOOST_TEST(Got.m_Status == 0U, Status);
+    BOOST_TEST(!Got.m_IsComplete, Status);
+    BOOST_TEST(!Got.m_Error.empty(), Status);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/peer_rows_test.cpp
+++ b/tests/unit/peer_rows_test.cpp
@@ -60,6 +60,10 @@
     });
   }
 
+  /// \brief Resets each connection after the rows.
+  void resetAfterRows() { m_Resets = true; }
+  [[nodiscard]] unsigned resets() const { return m_ResetCount; }
+
   void sendHeartbeat(std::vector<ServiceShare> Shares = {}) {
     Heartbeat Beat;
     Beat.m_ServiceShares = std::move(Shares);
@@ -99,12 +103,20 @@
     Rows.m_SyncedVersions = {9, 9, 9};
     std::string Bytes = encodeRows(Rows);
     co_await asio::async_write(*Socket, asio::buffer(Bytes), noThrow(Error));
+    if (!m_Resets)
+      co_return;
+    co_await sleepFor(m_Io, 20ms);
+    Socket->set_option(asio::socket_base::linger(true, 0), Error);
+    Socket->close(Error);
+    ++m_ResetCount;
   }
 
   asio::io_context &m_Io;
   std::string m_Address;
   Tcp::acceptor m_Acceptor;
   Udp::socket m_Beats;
+  bool m_Resets = false;
+  unsigned m_ResetCount = 0;
 };
 
 } // namespace
@@ -136,6 +148,28 @@
   BOOST_TEST((steadyNow() - Begin < 1200ms));
 }
 
+// Guards against a part of the rows that passes for all of them.
+BOOST_AUTO_TEST_CASE(RowsBeforeAResetAreNotApplied) {
+  asio::io_context Io;
+  WireFormat Format{};
+  DeadStore Store;
+  GatewayState State(Io, settings(), Format,
+                     {decodeOperator, decodeUpstream, {"op", "up", "vm"}});
+  UpstreamPool Pool(Io);
+  StoreReplica Replica(State, Pool, Store);
+  PeerService Service(State, Replica);
+  BOOST_REQUIRE(!Service.start(AddressBinder(0s)));
+  Peer Broken(Io, "127.0.9.5", true);
+  Broken.resetAfterRows();
+  for (TimePoint Begin = steadyNow();
+       Broken.resets() < 2 && steadyNow() - Begin < 3s;) {
+    Broken.sendHeartbeat();
+    Io.run_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(Broken.resets() >= 2U);
+  BOOST_TEST(!State.m_Upstreams.find("u"));
+}
+
 // Guards against VMs of a region that refuse different requests: a share that
 // isn't adjusted isn't sent to the own region, but the refused fraction is.
 BOOST_AUTO_TEST_CASE(RefusedFractionsReachTheRegionWithoutAdjustedShares) {
