--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -173,4 +173,20 @@
   --m_PendingCallers;
 }
 
+HttpResponse callStore(const Script &Behaviour, std::string Body) {
+  ExchangeRig Rig;
+  Rig.upstream("store", Behaviour);
+  Rig.useSmallSegments("store");
+  HttpClientConnection Client(
+      Rig.m_Io, Rig.m_State.m_Upstreams.find("store")->m_Registration.m_Address,
+      1s);
+  std::optional<HttpResponse> Response;
+  spawn(Rig.m_Io, [&]() -> awaitable<void> {
+    Response = co_await Client.call("POST", "/x", std::move(Body), 2s);
+  });
+  while (!Response)
+    Rig.m_Io.run_one();
+  return *Response;
+}
+
 } // namespace mustardspoke::test
--- a/tests/support/exchange_rig.h
+++ b/tests/support/exchange_rig.h
@@ -87,4 +87,8 @@
   unsigned m_PendingCallers = 0;
 };
 
+/// \brief Calls a server that runs \p Behaviour, with the client of the store.
+[[nodiscard]] steer::HttpResponse callStore(const Script &Behaviour,
+                                            std::string Body = "");
+
 } // namespace mustardspoke::test
