Gateway: every attempt takes a request's body from its begin

Cause: a short body that has arrived goes with the head. That way took bytes from where the sender of the earlier attempt had stopped, as only a sender set the position back. The absence of a sender then counted as "all was sent", so that a connection with an incomplete request went back into the pool. Not only refusals lead there: a reset, a close, a lost link, a peer that sent nothing.

Change: bytes of a body are taken through a BodyReader only; a body has one at a time, from its begin. RequestSender (before: BodySender) sends the head and the body of an attempt, together or one after the other, and a connection is reused only if that sender has written all that the head announced. Ruled out: setting the position back where the short body is taken, which leaves a way past the owner of the position.

The property test of bodies takes readers in place of senders and also checks where they end.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -107,7 +107,7 @@
 awaitable<bool> Exchange::endAfterFailure(std::exception_ptr Thrown) {
   logFailure("request " + m_Metadata.m_RequestId, Thrown);
   closeUpstream();
-  if (BodySenderPtr Sender = std::exchange(m_BodySender, nullptr))
+  if (RequestSenderPtr Sender = std::exchange(m_Sender, nullptr))
     co_await Sender->stop();
   m_Connection.reset();
   m_InFlightGuard.reset();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -2,9 +2,9 @@
 /// Forwards one request to an upstream and its response to the caller.
 #pragma once
 
-#include "gateway/body_sender.h"
 #include "gateway/caller_connection.h"
 #include "gateway/relay_protocol.h"
+#include "gateway/request_sender.h"
 #include "gateway/state.h"
 #include "gateway/upstream_pool.h"
 
@@ -242,8 +242,9 @@
   [[nodiscard]] bool requestBroke() const noexcept {
     return m_Request->m_ParseError != HttpParseError::None;
   }
-  [[nodiscard]] bool bodyIsSent() const noexcept {
-    return !m_BodySender || m_BodySender->hasSentAll();
+  /// \brief Whether the current attempt has written all of its request.
+  [[nodiscard]] bool requestIsSent() const noexcept {
+    return m_Sender && m_Sender->hasSentAll();
   }
   /// \brief Of the identifier that tells answers to this request from others.
   [[nodiscard]] std::uint64_t requestHash() const {
@@ -312,8 +313,7 @@
   bool m_ResponseStarted = false;
   /// A response to another request came first.
   bool m_StaleResponseSeen = false;
-  /// Of the current attempt; null if the body went with the head.
-  BodySenderPtr m_BodySender;
+  RequestSenderPtr m_Sender; ///< Of the current attempt.
   std::optional<BufferedResponse> m_BufferedResponse;
   BufferCharge m_ResponseCharge; ///< Of the response, while it is buffered.
 };
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -7,8 +7,6 @@
 namespace mustardspoke::steer {
 namespace {
 
-/// A body up to this size is sent together with the head.
-constexpr std::size_t SmallBody = 16384; // bytes
 /// A request that is sent at once is acknowledged within a round trip. Twice
 /// the first retransmissions on the longest path, so that single packet losses
 /// don't end an attempt.
@@ -76,32 +74,20 @@
 }
 
 awaitable<bool> Exchange::sendRequest(UpstreamPtr Target) {
-  const HttpHead &CallerHead = m_Request->m_Head;
-  bool HasBody =
-      CallerHead.m_Chunked || CallerHead.m_ContentLength.value_or(0) > 0;
-  std::string Bytes = requestHead(*Target);
-  bool GoesWithHead =
-      !HasBody || (!CallerHead.m_Chunked && m_Request->m_Body.isComplete() &&
-                   m_Request->m_Body.received() <= SmallBody);
-  if (GoesWithHead && HasBody)
-    Bytes += m_Request->m_Body.next(SmallBody);
+  std::string Head = requestHead(*Target);
   ++m_SentAttempts;
   m_Outcome.m_SentAt = steadyNow();
   if (!m_Connection->isToPeer())
     m_WaitGuard.emplace(m_State.m_OwnLinks);
-  UpstreamConnectionPtr Connection = m_Connection;
-  Connection->m_RequestUnanswered = true;
-  if (NetError Error = co_await Connection->write(Bytes)) {
+  m_Connection->m_RequestUnanswered = true;
+  m_Sender = new RequestSender(m_State.m_Io, m_State.m_Buffers, m_Connection,
+                               m_Request, m_Caller);
+  if (NetError Error = co_await m_Sender->start(std::move(Head))) {
     m_Outcome.m_Error = Error;
     co_return false;
   }
-  if (GoesWithHead) {
+  if (requestIsSent())
     armAcknowledgement();
-    co_return true;
-  }
-  m_BodySender = new BodySender(m_State.m_Io, m_State.m_Buffers, m_Connection,
-                                m_Request, m_Caller);
-  m_BodySender->start();
   co_return true;
 }
 
@@ -159,8 +145,7 @@
                                : lostAttempt("send-failed");
     }
   }
-  // The next attempt takes the body from its begin.
-  if (BodySenderPtr Sender = std::exchange(m_BodySender, nullptr))
+  if (RequestSenderPtr Sender = std::exchange(m_Sender, nullptr))
     co_await Sender->stop();
   m_Connection.reset();
   m_AcknowledgementTimer.cancel();
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -78,7 +78,7 @@
 void Exchange::releaseConnection(Upstream &Target, HttpParser &Parser) {
   m_Connection->m_RequestUnanswered =
       !Parser.done() || Parser.parseError() != HttpParseError::None ||
-      !bodyIsSent();
+      !requestIsSent();
   bool Reusable = !m_Connection->m_RequestUnanswered &&
                   Parser.head().m_KeepAlive && m_Connection->m_Input.empty() &&
                   !m_StaleResponseSeen && !cancelled();
@@ -232,7 +232,7 @@
   else
     Head.field("Content-Length", *UpstreamHead.m_ContentLength);
   std::string Framing = Head.finish();
-  if (bodyIsSent())
+  if (requestIsSent())
     watchPeer();
   for (;;) {
     std::string BodyPart = std::exchange(Parser.body(), {});
--- a/src/gateway/request_body.cpp
+++ b/src/gateway/request_body.cpp
@@ -29,17 +29,6 @@
                                    received() - m_Sent >= DigestedBytes);
 }
 
-void RequestBody::beginSending() {
-  assert(isWhole() && !m_HasSender);
-  m_HasSender = true;
-  m_Sent = 0;
-}
-
-std::string_view RequestBody::next(std::size_t MaxBytes) const noexcept {
-  return std::string_view(m_Bytes).substr(
-      m_Begin + std::size_t(m_Sent - m_Dropped), MaxBytes);
-}
-
 bool RequestBody::advance(std::size_t Bytes) {
   m_Sent += Bytes;
   assert(m_Sent <= received());
@@ -66,4 +55,16 @@
     m_Bytes.shrink_to_fit();
 }
 
+BodyReader::BodyReader(RequestBody &Body) : m_Body(Body) {
+  assert(Body.isWhole() && !Body.m_HasReader);
+  Body.m_HasReader = true;
+  Body.m_Sent = 0;
+}
+
+std::string_view BodyReader::next(std::size_t MaxBytes) const noexcept {
+  return std::string_view(m_Body.m_Bytes)
+      .substr(m_Body.m_Begin + std::size_t(m_Body.m_Sent - m_Body.m_Dropped),
+              MaxBytes);
+}
+
 } // namespace mustardspoke::steer
--- a/src/gateway/request_body.h
+++ b/src/gateway/request_body.h
@@ -14,12 +14,11 @@
 /// \brief Received bytes of a body, and the position up to which they have been
 /// sent.
 ///
-/// \details The connection to the caller appends; at most one sender takes.
-/// Positions count from the begin of the body.
+/// \details The connection to the caller appends; bytes are taken through a
+/// BodyReader. Positions count from the begin of the body.
 ///
 /// Invariants: dropped <= sent <= received. The bytes from "dropped" on are
-/// kept. "sent" belongs to the current sender, which begins at 0; there is no
-/// second one while it exists.
+/// kept. "sent" is the position of the reader, or of the last one.
 class RequestBody {
 public:
   /// Sent bytes that are kept for a retry, unless buffers are scarce.
@@ -55,22 +54,13 @@
   /// \brief Whether it can be sent again: nothing has been dropped.
   [[nodiscard]] bool isWhole() const noexcept { return m_Dropped == 0; }
 
-  // The sender.
-  /// \pre isWhole(), and there is no sender.
-  void beginSending();
-  void endSending() noexcept { m_HasSender = false; }
-  /// \brief The next bytes to send, at most \p MaxBytes; empty if they haven't
-  /// arrived. Valid until the next change of the body.
-  [[nodiscard]] std::string_view next(std::size_t MaxBytes) const noexcept;
-  /// \brief Moves the position after \p Bytes that the system has taken.
-  /// \returns Whether bytes were dropped that would have been kept, but that
-  /// buffers are scarce.
-  bool advance(std::size_t Bytes);
-
 private:
+  friend class BodyReader;
+
   [[nodiscard]] std::uint64_t kept() const noexcept {
     return m_Bytes.size() - m_Begin;
   }
+  bool advance(std::size_t Bytes);
   void dropSent();
 
   const BufferBudget &m_Buffers;
@@ -78,9 +68,38 @@
   std::size_t m_Begin = 0;
   std::uint64_t m_Dropped = 0;
   std::uint64_t m_Sent = 0;
-  bool m_HasSender = false;
+  bool m_HasReader = false;
   bool m_Complete = false;
   std::optional<std::uint32_t> m_Digest;
 };
 
+/// \brief Takes the bytes of a body for one attempt, from the begin.
+///
+/// Invariant: a body has one reader at a time, so that no attempt can go on
+/// where another one has stopped.
+class BodyReader {
+public:
+  /// \param Body Outlives the reader.
+  /// \pre \p Body is whole and has no reader.
+  explicit BodyReader(RequestBody &Body);
+  ~BodyReader() { m_Body.m_HasReader = false; }
+  BodyReader(const BodyReader &) = delete;
+  BodyReader &operator=(const BodyReader &) = delete;
+
+  /// \brief The next bytes to send, at most \p MaxBytes; empty if they haven't
+  /// arrived. Valid until the next change of the body.
+  [[nodiscard]] std::string_view next(std::size_t MaxBytes) const noexcept;
+  /// \brief Moves the position after \p Bytes that the system has taken.
+  /// \returns Whether bytes were dropped that would have been kept, but that
+  /// buffers are scarce.
+  bool advance(std::size_t Bytes) { return m_Body.advance(Bytes); }
+  /// \brief Whether all of the body has arrived and has been taken.
+  [[nodiscard]] bool atEnd() const noexcept {
+    return m_Body.m_Complete && m_Body.m_Sent == m_Body.received();
+  }
+
+private:
+  RequestBody &m_Body;
+};
+
 } // namespace mustardspoke::steer
--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -110,8 +110,16 @@
 void ExchangeRig::caller(std::string Text, std::size_t Count,
                          std::vector<HttpResponse> &Responses,
                          std::optional<Duration> CloseAfter) {
+  caller({TimedBytes{Duration::zero(), std::move(Text)}}, Count, Responses,
+         CloseAfter);
+}
+
+void ExchangeRig::caller(std::vector<TimedBytes> Parts, std::size_t Count,
+                         std::vector<HttpResponse> &Responses,
+                         std::optional<Duration> CloseAfter) {
   ++m_PendingCallers;
-  auto Shared = std::make_shared<const std::string>(std::move(Text));
+  auto Shared =
+      std::make_shared<const std::vector<TimedBytes>>(std::move(Parts));
   spawn(m_Io, [this, Shared, Count, &Responses, CloseAfter]() {
     return call(Shared, Count, Responses, CloseAfter);
   });
@@ -125,8 +133,12 @@
 }
 
 HttpResponse ExchangeRig::ask(const std::string &Text) {
+  return ask(std::vector<TimedBytes>{{Duration::zero(), Text}});
+}
+
+HttpResponse ExchangeRig::ask(std::vector<TimedBytes> Parts) {
   std::vector<HttpResponse> Responses;
-  caller(Text, 1, Responses);
+  caller(std::move(Parts), 1, Responses);
   run();
   BOOST_REQUIRE(Responses.size() == 1);
   return Responses.front();
@@ -138,15 +150,23 @@
   co_return co_await Served.run();
 }
 
-awaitable<void> ExchangeRig::call(std::shared_ptr<const std::string> Text,
-                                  std::size_t Count,
-                                  std::vector<HttpResponse> &Responses,
-                                  std::optional<Duration> CloseAfter) {
+awaitable<void>
+ExchangeRig::call(std::shared_ptr<const std::vector<TimedBytes>> Parts,
+                  std::size_t Count, std::vector<HttpResponse> &Responses,
+                  std::optional<Duration> CloseAfter) {
   Tcp::socket Socket(m_Io);
   CloseTimer Timer(m_Io);
   NetError Error;
   co_await Socket.async_connect(m_Callers.local_endpoint(), noThrow(Error));
-  co_await asio::async_write(Socket, asio::buffer(*Text), noThrow(Error));
+  // Each part is to arrive by itself.
+  NetError Ignored;
+  Socket.set_option(Tcp::no_delay(true), Ignored);
+  for (const TimedBytes &Part : *Parts) {
+    if (Part.m_Delay > Duration::zero())
+      co_await sleepFor(m_Io, Part.m_Delay);
+    co_await asio::async_write(Socket, asio::buffer(Part.m_Bytes),
+                               noThrow(Error));
+  }
   if (CloseAfter)
     Timer.arm(Socket, steadyNow() + *CloseAfter);
   HttpParser Parser(HttpParser::Role::Responses, 65536, 1 << 24);
--- a/tests/support/exchange_rig.h
+++ b/tests/support/exchange_rig.h
@@ -19,6 +19,12 @@
 /// \brief Behaviour of an upstream on each of its connections.
 using Script = std::function<steer::awaitable<void>(ServerSide &)>;
 
+/// \brief Bytes that a caller sends some time after those before them.
+struct TimedBytes {
+  Duration m_Delay;
+  std::string m_Bytes;
+};
+
 /// \brief Requests on the routes of ExchangeRig. \p ExtraFields holds further
 /// header lines with their line ends.
 [[nodiscard]] std::string safeRequest(const std::string &Id,
@@ -48,6 +54,9 @@
   void caller(std::string Text, std::size_t Count,
               std::vector<steer::HttpResponse> &Responses,
               std::optional<Duration> CloseAfter = std::nullopt);
+  void caller(std::vector<TimedBytes> Parts, std::size_t Count,
+              std::vector<steer::HttpResponse> &Responses,
+              std::optional<Duration> CloseAfter = std::nullopt);
 
   /// \brief Has requests served with another state, which outlives the rig's
   /// use.
@@ -62,6 +71,7 @@
   void run();
   /// \brief Sends one request over its own connection. \returns The response.
   [[nodiscard]] steer::HttpResponse ask(const std::string &Text);
+  [[nodiscard]] steer::HttpResponse ask(std::vector<TimedBytes> Parts);
 
   steer::asio::io_context m_Io;
   steer::GatewayState m_State;
@@ -70,10 +80,10 @@
 private:
   steer::awaitable<bool> serve(steer::CallerConnectionPtr Caller,
                                steer::PendingRequestPtr Request);
-  steer::awaitable<void> call(std::shared_ptr<const std::string> Text,
-                              std::size_t Count,
-                              std::vector<steer::HttpResponse> &Responses,
-                              std::optional<Duration> CloseAfter);
+  steer::awaitable<void>
+  call(std::shared_ptr<const std::vector<TimedBytes>> Parts, std::size_t Count,
+       std::vector<steer::HttpResponse> &Responses,
+       std::optional<Duration> CloseAfter);
 
   struct RunningUpstream {
     std::string m_Id;
--- a/tests/unit/request_body_test.cpp
+++ b/tests/unit/request_body_test.cpp
@@ -158,8 +158,8 @@
   BOOST_TEST(!R.m_State.m_Upstreams.find("u")->isEjected(steadyNow()));
 }
 
-// Random pieces, senders that stop anywhere, and scarce buffers.
-BOOST_AUTO_TEST_CASE(SendersTakeEveryByteOnceFromTheBegin) {
+// Random pieces, readers that stop anywhere, and scarce buffers.
+BOOST_AUTO_TEST_CASE(ReadersTakeEveryByteOnceFromTheBegin) {
   BOOST_TEST(rc::check([] {
     BufferBudget Buffers(1000);
     BufferCharge Others(Buffers);
@@ -168,7 +168,7 @@
         numbered(*rc::gen::inRange<std::size_t>(0, 1 << 20));
     std::size_t Received = 0;
     std::string Taken;
-    bool HasSender = false;
+    std::optional<BodyReader> Reader;
     for (int I = 0; I < 400; ++I) {
       switch (*rc::gen::inRange(0, 6)) {
       case 0:
@@ -185,32 +185,34 @@
         Others.set(*rc::gen::element<std::size_t>(0, 2000));
         break;
       case 3:
-        if (HasSender)
-          Body.endSending();
-        HasSender = false;
+        Reader.reset();
         break;
       default:
-        if (!HasSender && Body.isWhole()) {
-          Body.beginSending();
+        if (!Reader && Body.isWhole()) {
+          Reader.emplace(Body);
           Taken.clear();
-          HasSender = true;
         }
-        if (!HasSender)
+        if (!Reader)
           break;
         std::string_view Next =
-            Body.next(*rc::gen::inRange<std::size_t>(1, 40000));
+            Reader->next(*rc::gen::inRange<std::size_t>(1, 40000));
         Taken += Next;
-        (void)Body.advance(Next.size());
+        (void)Reader->advance(Next.size());
       }
+      if (Reader)
+        RC_ASSERT(!Reader->atEnd());
       RC_ASSERT(Body.received() == Received);
       RC_ASSERT(All.starts_with(Taken));
       RC_ASSERT(Body.digest().has_value() ==
                 (Received >= RequestBody::DigestedBytes));
       // The receiver may go on once everything has been taken.
-      if (HasSender && Taken.size() == Received)
+      if (Reader && Taken.size() == Received)
         RC_ASSERT(!Body.isFull());
       RC_ASSERT(Body.footprint() <= 4 * RequestBody::MaxRetained);
     }
+    Body.complete();
+    if (Reader)
+      RC_ASSERT(Reader->atEnd() == (Taken.size() == Received));
   }));
 }
 
