Gateway: a reset that a write takes is known before the next read

Cause: the event loop has the connection's event in hand, but first runs another handler, which writes. The write fails at once and takes the reset from the system; its completion is queued behind the event, whose read finds the end of the stream before UpstreamConnection has stored the error.

Change: UpstreamConnection writes with its own calls and waits only until the socket is writable, so that the error is stored before any other call on the socket. Ruled out: passing through the event loop's queue at the end of a stream, which depends on the order of that queue.

Orderly ends are served as before (BrokenStreams).

--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -2,8 +2,6 @@
 /// Opening, reusing and closing connections.
 #include "gateway/upstream_pool.h"
 
-#include <boost/asio/write.hpp>
-
 #include <algorithm>
 
 namespace mustardspoke::steer {
@@ -32,12 +30,21 @@
 
 awaitable<NetError> UpstreamConnection::write(std::string_view Bytes) {
   UpstreamConnectionPtr Self(this);
-  NetError Error;
-  co_await asio::async_write(m_Socket, asio::buffer(Bytes.data(), Bytes.size()),
-                             noThrow(Error));
-  if (Error && !m_WriteError)
-    m_WriteError = Error;
-  co_return Error;
+  while (!Bytes.empty() && !m_WriteError) {
+    NetError Error;
+    // Not an asynchronous write: its error would reach this function only after
+    // other handlers, among them that of a read which the error was kept from.
+    if (!m_Socket.non_blocking())
+      m_Socket.non_blocking(true, Error);
+    if (!Error)
+      Bytes.remove_prefix(
+          m_Socket.write_some(asio::buffer(Bytes.data(), Bytes.size()), Error));
+    if (Error == asio::error::would_block)
+      co_await m_Socket.async_wait(Tcp::socket::wait_write, noThrow(Error));
+    if (Error && Error != asio::error::interrupted)
+      m_WriteError = Error;
+  }
+  co_return m_WriteError;
 }
 
 awaitable<std::size_t> UpstreamConnection::read(std::span<char> Buffer,
@@ -48,7 +55,6 @@
   // After an orderly end of the stream, a reset fails writes with EPIPE
   // instead: the upstream has closed without reading all of the request.
   bool BrokeOff = m_WriteError && m_WriteError != asio::error::broken_pipe;
-  // A write that is completed by the same event is handled before the read.
   if (Error == asio::error::eof && BrokeOff)
     Error = m_WriteError;
   co_return BytesRead;
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -70,7 +70,8 @@
 
   bool m_PeerIsWatched = false;
   /// Of a write. The system reports the cause of a broken connection to one
-  /// call only; if that was a write, a read finds the end of the stream.
+  /// call only; if that was a write, a read finds the end of the stream. Set
+  /// before any other call on the socket.
   NetError m_WriteError;
   std::vector<std::uint64_t> m_Refused; ///< See noteRefusal().
 };
--- a/tests/unit/broken_stream_test.cpp
+++ b/tests/unit/broken_stream_test.cpp
@@ -231,6 +231,45 @@
   BOOST_TEST(ReadError == asio::error::eof);
 }
 
+// Guards against a part of an answer that its caller takes for the whole: both
+// connections are ready, and the handler of the first one writes to the second,
+// which takes the reset from the read that follows.
+BOOST_AUTO_TEST_CASE(WriteBetweenAnEventAndItsReadDoesNotHideTheReset) {
+  asio::io_context Io;
+  Tcp::acceptor Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0});
+  auto Connect = [&Acceptor](UpstreamConnection &Connection) {
+    Connection.m_Socket.connect(Acceptor.local_endpoint());
+    return Acceptor.accept();
+  };
+  UpstreamConnectionPtr First(new UpstreamConnection(Io));
+  UpstreamConnectionPtr Second(new UpstreamConnection(Io));
+  Tcp::socket FirstServer = Connect(*First);
+  Tcp::socket SecondServer = Connect(*Second);
+  NetError ReadError;
+  NetError WriteError;
+  std::size_t Received = 0;
+  spawn(Io, [&]() -> awaitable<void> {
+    char Buffer[64];
+    while (!ReadError)
+      Received += co_await Second->read(Buffer, ReadError);
+  });
+  spawn(Io, [&]() -> awaitable<void> {
+    char Buffer[64];
+    NetError Ignored;
+    (void)co_await First->read(Buffer, Ignored);
+    WriteError = co_await Second->write("more of the request");
+  });
+  SecondServer.send(asio::buffer("part", 4));
+  Io.poll();
+  BOOST_REQUIRE(Received == 4U); // Both reads are pending.
+  FirstServer.send(asio::buffer("x", 1));
+  SecondServer.set_option(asio::socket_base::linger(true, 0));
+  SecondServer.close();
+  Io.run_for(std::chrono::milliseconds(500));
+  BOOST_TEST(WriteError == asio::error::connection_reset);
+  BOOST_TEST(ReadError == asio::error::connection_reset);
+}
+
 // The same after the upload: the system reports the reset to the reader.
 BOOST_AUTO_TEST_CASE(ResetAfterAnUploadBreaksTheAnswer) {
   for (const Framing &Form : Framings)
