Gateway: a failure with a long body is logged as one

What on-call saw: an upstream's 500 with a body over 512 KiB reached its caller, and the request's line said "outcome":"done","error":"none","why":"streamed"; the metrics counted it as served. Shorter ones had the error, but, on routes whose requests may run once, the outcome "not-run", although an upstream had answered.

Cause: streamResponse() recorded every status as a success; the outcome of a failure came from the attempts that were lost only.

Change: both ways of an answer record it in recordAnswered(). A request may have run from the head of any answer on that doesn't state "not run".

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -265,6 +265,9 @@
   [[nodiscard]] bool isOwnAnswer(const ResponseMetadata &Metadata) const;
   [[nodiscard]] Duration remaining() const { return m_Deadline - steadyNow(); }
   void record(ErrorKind Error, unsigned Status, std::string_view Reason);
+  /// \brief The same for an answer of an upstream that was passed on.
+  /// \param Reason Of a success.
+  void recordAnswered(unsigned Status, std::string_view Reason);
 
   GatewayState &m_State;
   UpstreamPool &m_Pool;
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -136,6 +136,7 @@
     if (Metadata.m_NotRun)
       m_Connection->noteRefusal(requestHash());
     applyMetadata(*Target, Metadata);
+    m_MayHaveRun = m_MayHaveRun || !Metadata.m_NotRun;
     m_Outcome.m_IsSigned = Metadata.m_Signed;
     AnswerVerdict Verdict = judgeAnswer(Parser.head().m_Status, Metadata,
                                         {m_Route->idempotent(), servesPeer()});
@@ -178,8 +179,7 @@
                                                   HttpParser &Parser) {
   recordWithheldAnswer(*Target, Parser.head().m_Status);
   bool IsWhole = co_await finishMessage(*Target, Parser);
-  co_return IsWhole ? AttemptResult::UnprovedRefusal
-                    : lostAttempt("broke-off");
+  co_return IsWhole ? AttemptResult::UnprovedRefusal : lostAttempt("broke-off");
 }
 
 std::size_t Exchange::maxBufferedResponse() const noexcept {
@@ -225,6 +225,13 @@
   addConnectionField(Head);
 }
 
+void Exchange::recordAnswered(unsigned Status, std::string_view Reason) {
+  if (isSuccess(Status))
+    record(ErrorKind::None, Status, Reason);
+  else
+    record(ErrorKind::UpstreamLost, Status, "upstream-status");
+}
+
 awaitable<bool> Exchange::deliver(BufferedResponse Response) {
   unsigned Status = Response.m_Head.m_Status;
   HeadWriter Head = HeadWriter::response(Status, Response.m_Head.m_Reason);
@@ -235,8 +242,7 @@
     Head.field("Content-Length", *Response.m_Head.m_ContentLength);
   else if (!Bodiless)
     Head.field("Content-Length", std::uint64_t(Response.m_Body.size()));
-  record(isSuccess(Status) ? ErrorKind::None : ErrorKind::UpstreamLost, Status,
-         isSuccess(Status) ? "" : "upstream-status");
+  recordAnswered(Status, "");
   m_ResponseStarted = true;
   bool StillConnected = co_await m_Caller->send(m_Request, Head.finish(),
                                                 std::move(Response.m_Body));
@@ -281,7 +287,7 @@
   }
   m_Outcome.m_AnsweredAt = steadyNow();
   m_Outcome.m_Status = UpstreamHead.m_Status;
-  record(ErrorKind::None, UpstreamHead.m_Status, "streamed");
+  recordAnswered(UpstreamHead.m_Status, "streamed");
   co_return AttemptResult::Streamed;
 }
 
--- /dev/null
+++ b/tests/unit/long_failure_test.cpp
@@ -0,0 +1,86 @@
+/// \file
+/// Failures of upstreams, with bodies of all lengths, through real sockets on
+/// loopback: what the log tells of them, and whether another upstream is tried.
+#define BOOST_TEST_DYN_LINK
+#include <boost/test/unit_test.hpp>
+
+#include "support/cut_gateway.h"
+#include "support/log_capture.h"
+
+using namespace mustardspoke;
+using namespace mustardspoke::steer;
+using namespace mustardspoke::test;
+
+namespace {
+
+/// Shorter ones are kept until their end, longer ones are streamed.
+constexpr std::size_t Sizes[] = {0, 2000, 512 << 10, (512 << 10) + 1, 700000};
+
+std::string failure(unsigned Status, const std::string &Id, std::size_t Size) {
+  return "HTTP/1.1 " + std::to_string(Status) + " F\r\nX-Request-Id: " + Id +
+         "\r\nX-Response-Signature: s\r\nContent-Length: " +
+         std::to_string(Size) + "\r\n\r\n" + std::string(Size, 'f');
+}
+
+std::string request(const std::string &Path) {
+  return "GET " + Path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n\r\n";
+}
+
+/// \brief Upstreams that answer the first requests with a failure.
+struct FailingUpstreams {
+  FailingUpstreams(unsigned Status, std::size_t Size, unsigned Failures)
+      : m_Failures(Failures) {
+    for (const char *Id : {"u1", "u2"})
+      m_Gateway.upstream(
+          Id, [this, Status, Size](ServerSide &Side) -> awaitable<void> {
+            for (;;) {
+              std::string RequestId = co_await Side.readRequest();
+              if (RequestId.empty())
+                co_return;
+              if (++m_Runs <= m_Failures)
+                co_await Side.sendRaw(failure(Status, RequestId, Size));
+              else
+                co_await Side.respond(RequestId, "served");
+            }
+          });
+  }
+
+  CutGateway m_Gateway; ///< Not cut unless a peer is to carry the attempts.
+  ExchangeRig &m_Rig = m_Gateway.m_Rig;
+  unsigned m_Failures;
+  unsigned m_Runs = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LongFailures)
+
+// Guards against a failure that the log and the metrics count as served.
+BOOST_AUTO_TEST_CASE(FailureIsLoggedAsOneWhateverItsLength) {
+  for (const char *Path : {"/safe/x", "/unsafe/x", "/download/x", "/upload/x"})
+    for (unsigned Status : {404U, 500U})
+      for (std::size_t Size : Sizes) {
+        BOOST_TEST_CONTEXT(Path << ", " << Status << ", " << Size << " bytes") {
+          LogCapture Log;
+          FailingUpstreams Upstreams(Status, Size, 2);
+          HttpResponse Got = Upstreams.m_Rig.ask(request(Path));
+          BOOST_TEST(Got.m_Head.m_Status == Status);
+          BOOST_TEST(Got.m_Body.size() == Size);
+          BOOST_TEST(Log.contains("\"outcome\":\"unknown\",\"error\":"
+                                  "\"upstream-lost\",\"why\":"
+                                  "\"upstream-status\""));
+        }
+      }
+}
+
+// Control: a success is logged as served whatever its length.
+BOOST_AUTO_TEST_CASE(SuccessIsLoggedAsServed) {
+  for (std::size_t Size : Sizes) {
+    LogCapture Log;
+    FailingUpstreams Upstreams(200, Size, 1);
+    BOOST_TEST(Upstreams.m_Rig.ask(request("/safe/x")).m_Body.size() == Size);
+    BOOST_TEST(Log.contains("\"outcome\":\"done\",\"error\":\"none\""));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
