Gateway: a failure with a long body is retried like a short one

What callers saw: an upstream's 500 or 503 on a route whose requests may be repeated reached the caller if its body exceeded 512 KiB, though another upstream would have served the request. With a shorter body the second attempt is made.

Cause: whether a failure is tried again was decided for answers that are kept until their end; a longer one was streamed before.

Change: a failure that is too long to be kept is dropped if another upstream can be chosen and the budget grants the retry, which is taken once for an attempt. Otherwise the caller gets it as before.

Without a retry the failure still arrives whole.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -365,7 +365,7 @@
       [[fallthrough]];
     case AttemptResult::Failed:
     case AttemptResult::Lost:
-      if (cancelled() || IsTrial || !mayRetry(Last))
+      if (cancelled() || !mayRetry(Last))
         co_return co_await giveUp(Last, 200ms, "attempts");
       // The same upstream holds the key, and a peer may reach it.
       if (m_Outcome.m_LeftOwnLink)
@@ -381,15 +381,22 @@
 }
 
 bool Exchange::mayRetry(AttemptResult Result) {
+  if (m_Outcome.m_RetryGranted)
+    return true;
   if (Result != AttemptResult::NotRun && !m_Route->idempotent())
     return false;
-  if (m_EndedUpstreams >= MaxEndedUpstreams)
+  if (m_Outcome.m_IsTrial || m_EndedUpstreams >= MaxEndedUpstreams)
     return false;
   if (!m_Request->m_Body.isWhole() ||
       m_SentAttempts >= m_Route->m_MaxAttempts || remaining() < MinRetryTime)
     return false;
-  return m_State.m_RetryBudgets[m_TargetService].takeRetry(
+  m_Outcome.m_RetryGranted = m_State.m_RetryBudgets[m_TargetService].takeRetry(
       steadyNow(), m_State.m_Fleet.limitFraction(), m_State.m_Settings.m_Retry);
+  return m_Outcome.m_RetryGranted;
+}
+
+bool Exchange::retriesElsewhere() {
+  return !cancelled() && choose().m_Upstream && mayRetry(AttemptResult::Failed);
 }
 
 awaitable<bool> Exchange::giveUp(AttemptResult Last, Duration RetryAfter,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -17,8 +17,9 @@
   Streamed, ///< The caller has the whole response.
   NotSent,  ///< No connection; nothing was sent to the upstream.
   NotRun,   ///< The upstream states that it did not run the request.
-  Failed,   ///< The upstream answered with an error, which is kept for the
-            ///< caller; another upstream may do better.
+  /// The upstream answered with an error, and another one may do better. The
+  /// answer is kept for the caller, unless it is long and a retry was granted.
+  Failed,
   /// The upstream answered as if the request had not run, without stating so;
   /// see AnswerVerdict::UnprovedRefusal.
   UnprovedRefusal,
@@ -34,8 +35,9 @@
   /// Error of opening the connection, or that ended it.
   NetError m_Error;
   TimePoint m_BeganAt{};
-  TimePoint m_SentAt{};     ///< Zero if nothing was sent.
-  TimePoint m_AnsweredAt{}; ///< Zero without a complete response.
+  TimePoint m_SentAt{}; ///< Zero if nothing was sent.
+  /// Zero without a response that is complete, or that nobody gets.
+  TimePoint m_AnsweredAt{};
   unsigned m_Status = 0;
   std::size_t m_BodyBytes = 0;
   bool m_IsSigned = false; ///< The response is an upstream's.
@@ -46,6 +48,8 @@
   bool m_IsStated = false;
   /// The own link was left, as the links were lost meanwhile.
   bool m_LeftOwnLink = false;
+  bool m_IsTrial = false;      ///< See CrashVerdict::Trial.
+  bool m_RetryGranted = false; ///< mayRetry() has been asked.
 
   [[nodiscard]] bool isRelayed() const noexcept { return !m_Peer.empty(); }
 };
@@ -133,8 +137,12 @@
   [[nodiscard]] Choice choose(UpstreamStrategy Strategy,
                               std::span<const Upstream *const> Excluded) const;
   [[nodiscard]] PlacementKey placementKey() const;
-  /// \brief Whether another upstream may be tried after \p Result.
+  /// \brief Whether another upstream may be tried after \p Result; takes a
+  /// retry from the service's budget, once for an attempt.
   [[nodiscard]] bool mayRetry(AttemptResult Result);
+  /// \brief Whether another upstream will be tried after a failure of the
+  /// current one, so that its answer needn't be kept.
+  [[nodiscard]] bool retriesElsewhere();
   awaitable<bool> giveUp(AttemptResult Last, Duration RetryAfter,
                          std::string_view Reason);
 
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -122,6 +122,7 @@
 awaitable<AttemptResult> Exchange::attempt(UpstreamPtr Target, bool IsTrial) {
   m_Outcome = {};
   m_Outcome.m_BeganAt = steadyNow();
+  m_Outcome.m_IsTrial = IsTrial;
   m_BufferedResponse.reset();
   // The load that a peer causes for this VM is counted by this VM only.
   if (!servesPeer())
--- a/src/gateway/exchange_response.cpp
+++ b/src/gateway/exchange_response.cpp
@@ -200,6 +200,12 @@
     co_return lostAttempt("broke-off");
   unsigned Status = Parser.head().m_Status;
   if (!Parser.done()) {
+    // Too long to be kept for the case that no other upstream does better.
+    if (Verdict == AnswerVerdict::TryAgain && retriesElsewhere()) {
+      m_Outcome.m_AnsweredAt = steadyNow();
+      m_Outcome.m_Status = Status;
+      co_return AttemptResult::Failed;
+    }
     if (Parser.body().size() <= MaxBufferedResponse)
       ++m_State.m_Buffers.m_Counters.m_Streamed;
     co_return co_await streamResponse(Parser);
--- a/tests/unit/long_failure_test.cpp
+++ b/tests/unit/long_failure_test.cpp
@@ -83,4 +83,57 @@
   }
 }
 
+constexpr const char *RepeatablePaths[] = {"/safe/x", "/download/x"};
+
+// Guards against callers who get a failure that a second attempt would have
+// spared them, only because it is long.
+BOOST_AUTO_TEST_CASE(FailureIsRepairedElsewhereWhateverItsLength) {
+  for (bool ByPeer : {false, true})
+    for (const char *Path : RepeatablePaths)
+      for (unsigned Status : {500U, 503U})
+        for (std::size_t Size : Sizes) {
+          BOOST_TEST_CONTEXT(Path << ", " << Status << ", " << Size << " bytes"
+                                  << (ByPeer ? ", over a peer" : "")) {
+            FailingUpstreams Upstreams(Status, Size, 1);
+            if (ByPeer)
+              Upstreams.m_Gateway.cut();
+            HttpResponse Got = Upstreams.m_Rig.ask(request(Path));
+            BOOST_TEST(Got.m_Head.m_Status == 200U);
+            BOOST_TEST((Got.m_Body == "served"));
+          }
+        }
+}
+
+// A long failure can't be kept: without a retry, it is the caller's at once.
+BOOST_AUTO_TEST_CASE(FailureReachesTheCallerIfThereIsNoRetry) {
+  for (const char *Path : RepeatablePaths)
+    for (std::size_t Size : Sizes) {
+      BOOST_TEST_CONTEXT(Path << ", " << Size << " bytes") {
+        FailingUpstreams Upstreams(500, Size, 1);
+        RetryBudget &Budget =
+            Upstreams.m_Rig.m_State.m_RetryBudgets[ServiceName("s")];
+        while (Budget.takeRetry(steadyNow(), 1, {})) {
+        }
+        HttpResponse Got = Upstreams.m_Rig.ask(request(Path));
+        BOOST_TEST(Got.m_Head.m_Status == 500U);
+        BOOST_TEST(Got.m_Body.size() == Size);
+        BOOST_TEST(Upstreams.m_Runs == 1U);
+      }
+    }
+}
+
+// One failure takes one retry from the budget.
+BOOST_AUTO_TEST_CASE(LongFailureTakesOneRetry) {
+  auto RetriesLeftAfter = [](std::size_t Size) {
+    FailingUpstreams Upstreams(500, Size, 1);
+    (void)Upstreams.m_Rig.ask(request("/safe/x"));
+    unsigned Left = 0;
+    while (Upstreams.m_Rig.m_State.m_RetryBudgets[ServiceName("s")].takeRetry(
+        steadyNow(), 1, {}))
+      ++Left;
+    return Left;
+  };
+  BOOST_TEST(RetriesLeftAfter(700000) == RetriesLeftAfter(2000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
