--- a/tests/unit/long_failure_test.cpp
+++ b/tests/unit/long_failure_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "support/cut_gateway.h"
+#include "support/exchange_messages.h"
 #include "support/log_capture.h"
 
 using namespace mustardspoke;
@@ -16,11 +17,7 @@
 /// Shorter ones are kept until their end, longer ones are streamed.
 constexpr std::size_t Sizes[] = {0, 2000, 512 << 10, (512 << 10) + 1, 700000};
 
-std::string failure(unsigned Status, const std::string &Id, std::size_t Size) {
-  return "HTTP/1.1 " + std::to_string(Status) + " F\r\nX-Request-Id: " + Id +
-         "\r\nX-Response-Signature: s\r\nContent-Length: " +
-         std::to_string(Size) + "\r\n\r\n" + std::string(Size, 'f');
-}
+constexpr const char *Signature = "X-Response-Signature: s\r\n";
 
 std::string request(const std::string &Path) {
   return "GET " + Path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n\r\n";
@@ -33,12 +30,14 @@
     for (const char *Id : {"u1", "u2"})
       m_Gateway.upstream(
           Id, [this, Status, Size](ServerSide &Side) -> awaitable<void> {
+            const UpstreamAnswer Failure{Status, BodyFraming::Length, Size,
+                                         Signature};
             for (;;) {
               std::string RequestId = co_await Side.readRequest();
               if (RequestId.empty())
                 co_return;
               if (++m_Runs <= m_Failures)
-                co_await Side.sendRaw(failure(Status, RequestId, Size));
+                co_await Failure.send(Side, RequestId);
               else
                 co_await Side.respond(RequestId, "served");
             }
--- a/tests/unit/retried_body_test.cpp
+++ b/tests/unit/retried_body_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "support/cut_gateway.h"
+#include "support/exchange_messages.h"
 
 using namespace mustardspoke;
 using namespace mustardspoke::steer;
@@ -17,61 +18,22 @@
 constexpr Duration RefusalDelay = 20ms;
 constexpr const char *Deadline = "X-Deadline-Ms: 1500\r\n";
 
-/// \brief \p Size bytes that name the request and their place.
-std::string bodyOf(const std::string &Id, std::size_t Size) {
-  std::string Result;
-  while (Result.size() < Size)
-    Result += Id + "@" + std::to_string(Result.size()) + " ";
-  Result.resize(Size);
-  return Result;
-}
-
-/// \brief When the parts of a body arrive.
-struct Arrival {
+constexpr std::size_t ShortBody = 12000;
+struct NamedBody {
   const char *m_Name;
-  std::size_t m_Bytes;
-  std::vector<Duration> m_Delays; ///< Of its parts; empty: with the head.
-  bool m_IsChunked = false;
+  ArrivingBody m_Body;
 };
-
-const Arrival Arrivals[] = {
-    {"after the head", 12000, {5ms}},
-    {"in two parts", 12000, {5ms, 7ms}},
-    {"in two parts around the refusal", 12000, {5ms, 30ms}},
-    {"the longest that goes with a head", SmallBody, {5ms}},
-    {"one byte", 1, {5ms}},
-    {"in ten parts", 10, std::vector<Duration>(10, 1ms)},
-    {"with the head", 12000, {}},
-    {"longer than goes with a head", SmallBody + 1, {5ms}},
-    {"long", 200000, {5ms, 5ms}},
-    {"in chunks", 12000, {5ms, 7ms}, true}};
-
-std::vector<TimedBytes> requestWithBody(const std::string &Path,
-                                        const std::string &Id,
-                                        const Arrival &Form) {
-  std::string Head = "POST " + Path +
-                     " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id + "\r\n" +
-                     Deadline;
-  Head += Form.m_IsChunked
-              ? "Transfer-Encoding: chunked\r\n\r\n"
-              : "Content-Length: " + std::to_string(Form.m_Bytes) + "\r\n\r\n";
-  std::string Body = bodyOf(Id, Form.m_Bytes);
-  std::vector<TimedBytes> Result{{Duration::zero(), Head}};
-  if (Form.m_Delays.empty())
-    Result.front().m_Bytes += Body;
-  std::size_t Taken = 0;
-  for (std::size_t I = 0; I < Form.m_Delays.size(); ++I) {
-    std::size_t End = Body.size() * (I + 1) / Form.m_Delays.size();
-    std::string Part = Body.substr(Taken, End - Taken);
-    Taken = End;
-    if (Form.m_IsChunked)
-      Part = chunkHeader(Part.size()) + Part + std::string(ChunkEnd);
-    Result.push_back({Form.m_Delays[I], Part});
-  }
-  if (Form.m_IsChunked)
-    Result.back().m_Bytes += LastChunk;
-  return Result;
-}
+const NamedBody Bodies[] = {
+    {"after the head", {ShortBody, {5ms}}},
+    {"in two parts", {ShortBody, {5ms, 7ms}}},
+    {"in two parts around the refusal", {ShortBody, {5ms, 30ms}}},
+    {"the longest that goes with a head", {SmallBody, {5ms}}},
+    {"one byte", {1, {5ms}}},
+    {"in ten parts", {10, std::vector<Duration>(10, 1ms)}},
+    {"with the head", {ShortBody, {}}},
+    {"longer than goes with a head", {SmallBody + 1, {5ms}}},
+    {"long", {200000, {5ms, 5ms}}},
+    {"in chunks", {ShortBody, {5ms, 7ms}, true}}};
 
 /// \brief How an attempt fails.
 enum class Failure : std::uint8_t {
@@ -120,7 +82,7 @@
       }
       while (co_await Side.readMore()) {
       }
-      if (!bodyOf(Id, m_BodyBytes).starts_with(Side.body()))
+      if (!markedBytes(Id, m_BodyBytes).starts_with(Side.body()))
         ++m_OtherBodies;
       if (!Side.requestIsComplete())
         co_return;
@@ -147,22 +109,23 @@
   std::size_t m_BodyBytes;
 };
 
-/// \brief Calls \p Check(Path, Kind, Form) for each failure after which a
+/// \brief Calls \p Check(Path, Kind, Body) for each failure after which a
 /// request of the route is sent again.
 template <class Function> void forEachRetry(Function Check) {
   for (const char *Path : {"/safe/x", "/unsafe/x"})
     for (const auto &[Name, Kind] : Failures)
-      for (const Arrival &Form : Arrivals) {
+      for (const auto &[Form, Body] : Bodies) {
         bool IsRepeated = isRefusal(Kind) || std::string(Path) == "/safe/x";
         if (IsRepeated)
-          BOOST_TEST_CONTEXT(Path << ", " << Name << ", body " << Form.m_Name)
-        Check(Path, Kind, Form);
+          BOOST_TEST_CONTEXT(Path << ", " << Name << ", body " << Form)
+        Check(Path, Kind, Body);
       }
 }
 
 void checkIsServedWhole(FailingUpstreams &Upstreams, const char *Path,
-                        const Arrival &Form) {
-  HttpResponse Got = Upstreams.m_Rig.ask(requestWithBody(Path, "a", Form));
+                        const ArrivingBody &Body) {
+  HttpResponse Got =
+      Upstreams.m_Rig.ask(postRequest(Path, "a", Body, Deadline));
   BOOST_TEST(Got.m_Head.m_Status == 200U);
   BOOST_TEST(Upstreams.m_Run.size() == 1U);
   BOOST_TEST(Upstreams.m_OtherBodies == 0U);
@@ -175,37 +138,37 @@
 // Guards against a second attempt without the body: it began where the sender
 // of the first one had stopped.
 BOOST_AUTO_TEST_CASE(SecondUpstreamGetsTheWholeBody) {
-  forEachRetry([](const char *Path, Failure Kind, const Arrival &Form) {
-    FailingUpstreams Upstreams(Kind, 1, Form.m_Bytes);
-    checkIsServedWhole(Upstreams, Path, Form);
+  forEachRetry([](const char *Path, Failure Kind, const ArrivingBody &Body) {
+    FailingUpstreams Upstreams(Kind, 1, Body.m_Bytes);
+    checkIsServedWhole(Upstreams, Path, Body);
   });
 }
 
 BOOST_AUTO_TEST_CASE(SecondUpstreamGetsTheWholeBodyOverAPeer) {
-  forEachRetry([](const char *Path, Failure Kind, const Arrival &Form) {
-    FailingUpstreams Upstreams(Kind, 1, Form.m_Bytes);
+  forEachRetry([](const char *Path, Failure Kind, const ArrivingBody &Body) {
+    FailingUpstreams Upstreams(Kind, 1, Body.m_Bytes);
     Upstreams.m_Gateway.cut();
-    checkIsServedWhole(Upstreams, Path, Form);
+    checkIsServedWhole(Upstreams, Path, Body);
   });
 }
 
 // What was sent is kept for a retry up to this size.
 BOOST_AUTO_TEST_CASE(SecondUpstreamGetsTheWholeBodyWhileBuffersAreScarce) {
-  forEachRetry([](const char *Path, Failure Kind, const Arrival &Form) {
-    if (Form.m_Bytes > SmallBody)
+  forEachRetry([](const char *Path, Failure Kind, const ArrivingBody &Body) {
+    if (Body.m_Bytes > SmallBody)
       return;
-    FailingUpstreams Upstreams(Kind, 1, Form.m_Bytes);
+    FailingUpstreams Upstreams(Kind, 1, Body.m_Bytes);
     BufferBudget &Buffers = Upstreams.m_Rig.m_State.m_Buffers;
     BufferCharge Others(Buffers);
     Others.set(Buffers.limit());
-    checkIsServedWhole(Upstreams, Path, Form);
+    checkIsServedWhole(Upstreams, Path, Body);
   });
 }
 
 // An attempt that hangs on a lost link goes on over a peer.
 BOOST_AUTO_TEST_CASE(BodyOfAnAttemptThatLeavesItsLinkReachesThePeerWhole) {
-  for (const Arrival &Form : Arrivals) {
-    BOOST_TEST_CONTEXT("body " << Form.m_Name) {
+  for (const auto &[Form, Body] : Bodies) {
+    BOOST_TEST_CONTEXT("body " << Form) {
       CutGateway G;
       unsigned Requests = 0;
       std::string Seen;
@@ -219,24 +182,26 @@
         Seen = Side.body();
         co_await Side.respond(Id, Id);
       });
-      HttpResponse Got = G.m_Rig.ask(requestWithBody("/safe/x", "a", Form));
+      HttpResponse Got =
+          G.m_Rig.ask(postRequest("/safe/x", "a", Body, Deadline));
       BOOST_TEST(Got.m_Head.m_Status == 200U);
-      BOOST_TEST((Seen == bodyOf("a", Form.m_Bytes)));
+      BOOST_TEST((Seen == markedBytes("a", Body.m_Bytes)));
     }
   }
 }
 
 // A peer may state that it has sent nothing after it got the whole request.
 BOOST_AUTO_TEST_CASE(BodyThatAPeerDidNotSendGoesToTheNextUpstreamWhole) {
-  for (const Arrival &Form : Arrivals) {
-    BOOST_TEST_CONTEXT("body " << Form.m_Name) {
-      FailingUpstreams Upstreams(Failure::Refusal, 0, Form.m_Bytes);
+  for (const auto &[Form, Body] : Bodies) {
+    BOOST_TEST_CONTEXT("body " << Form) {
+      FailingUpstreams Upstreams(Failure::Refusal, 0, Body.m_Bytes);
       CutGateway &G = Upstreams.m_Gateway;
       G.cut();
       (void)G.m_Peer.m_Upstreams.announceLeaving(
           runKey(G.m_Peer.m_Upstreams.find("u1")->m_Registration), steadyNow());
       for (const char *Id : {"a", "b", "c", "d"}) {
-        HttpResponse Got = G.m_Rig.ask(requestWithBody("/unsafe/x", Id, Form));
+        HttpResponse Got =
+            G.m_Rig.ask(postRequest("/unsafe/x", Id, Body, Deadline));
         BOOST_TEST(Got.m_Head.m_Status == 200U);
       }
       BOOST_TEST(Upstreams.m_Run.size() == 4U);
@@ -250,17 +215,18 @@
 BOOST_AUTO_TEST_CASE(ConnectionsOfRefusedRequestsCarryTheNextOnesWhole) {
   for (bool ByPeer : {false, true})
     for (Failure Kind : {Failure::EarlyRefusal, Failure::Refusal})
-      for (const Arrival &Form : Arrivals) {
-        BOOST_TEST_CONTEXT("body " << Form.m_Name
-                                   << (ByPeer ? ", over a peer" : "")) {
-          FailingUpstreams Upstreams(Kind, 2, Form.m_Bytes);
+      for (const auto &[Form, Body] : Bodies) {
+        BOOST_TEST_CONTEXT("body " << Form << (ByPeer ? ", over a peer" : "")) {
+          FailingUpstreams Upstreams(Kind, 2, Body.m_Bytes);
           if (ByPeer)
             Upstreams.m_Gateway.cut();
           ExchangeRig &R = Upstreams.m_Rig;
-          HttpResponse Refused = R.ask(requestWithBody("/unsafe/x", "a", Form));
+          HttpResponse Refused =
+              R.ask(postRequest("/unsafe/x", "a", Body, Deadline));
           BOOST_TEST(Refused.m_Head.m_Status == 503U);
           for (const char *Id : {"b", "c", "d"}) {
-            HttpResponse Got = R.ask(requestWithBody("/unsafe/x", Id, Form));
+            HttpResponse Got =
+                R.ask(postRequest("/unsafe/x", Id, Body, Deadline));
             BOOST_TEST(Got.m_Head.m_Status == 200U);
           }
           BOOST_TEST(Upstreams.m_Run.size() == 3U);
--- a/tests/unit/unproved_refusal_test.cpp
+++ b/tests/unit/unproved_refusal_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "support/cut_gateway.h"
+#include "support/exchange_messages.h"
 #include "support/log_capture.h"
 
 using namespace mustardspoke;
@@ -17,62 +18,15 @@
 constexpr std::size_t MaxKept = 512 << 10; // bytes
 /// The same while buffers are scarce.
 constexpr std::size_t MaxKeptScarce = 16 << 10;
-constexpr std::size_t PieceBytes = 16 << 10;
 
-/// \brief How the body of an answer ends.
-enum class Framing : std::uint8_t {
-  Length,
-  Chunks,
-  Close,   ///< With the connection.
-  Endless, ///< Not at all, until the VM closes.
-};
-constexpr std::pair<const char *, Framing> Framings[] = {
-    {"with a length", Framing::Length},
-    {"in chunks", Framing::Chunks},
-    {"without a length", Framing::Close},
-    {"without end", Framing::Endless}};
-
-/// \brief The answer of an upstream that has run the request.
-struct Answer {
-  unsigned m_Status = 503;
-  Framing m_Framing = Framing::Length;
-  std::size_t m_BodyBytes = 0;
-  std::string m_Fields; ///< Further lines, with their ends.
-
-  [[nodiscard]] std::string head(const std::string &Id) const {
-    std::string Result = "HTTP/1.1 " + std::to_string(m_Status) +
-                         " E\r\nX-Request-Id: " + Id + "\r\n" + m_Fields;
-    if (m_Framing == Framing::Length)
-      Result += "Content-Length: " + std::to_string(m_BodyBytes) + "\r\n";
-    if (m_Framing == Framing::Chunks)
-      Result += "Transfer-Encoding: chunked\r\n";
-    return Result + "\r\n";
-  }
-  awaitable<void> send(ServerSide &Side, const std::string &Id) const {
-    co_await Side.sendRaw(head(Id));
-    for (std::size_t Sent = 0; m_Framing == Framing::Endless
-                                   ? !Side.peerClosed()
-                                   : Sent < m_BodyBytes;) {
-      std::size_t Size = m_Framing == Framing::Endless
-                             ? PieceBytes
-                             : std::min(PieceBytes, m_BodyBytes - Sent);
-      std::string Piece(Size, 'e');
-      if (m_Framing == Framing::Chunks)
-        Piece = chunkHeader(Size) + Piece + std::string(ChunkEnd);
-      co_await Side.sendRaw(Piece);
-      Sent += Size;
-      if (m_Framing == Framing::Endless)
-        co_await Side.sleep(1ms);
-    }
-    if (m_Framing == Framing::Chunks)
-      co_await Side.sendRaw(std::string(LastChunk));
-    if (m_Framing == Framing::Close)
-      Side.close();
-  }
-};
+constexpr std::pair<const char *, BodyFraming> Framings[] = {
+    {"with a length", BodyFraming::Length},
+    {"in chunks", BodyFraming::Chunks},
+    {"without a length", BodyFraming::Close},
+    {"without end", BodyFraming::Endless}};
 
 /// \brief An upstream that gives each request the same answer.
-Script answering(const Answer &Given, unsigned &Runs) {
+Script answering(const UpstreamAnswer &Given, unsigned &Runs) {
   return [Given, &Runs](ServerSide &Side) -> awaitable<void> {
     for (;;) {
       std::string Id = co_await Side.readRequest();
@@ -98,11 +52,11 @@
     for (const auto &[Name, Form] : Framings)
       for (std::size_t Size : Sizes)
         for (const char *Path : {"/unsafe/x", "/upload/x"}) {
-          if (Form == Framing::Endless && Size != Sizes.front())
+          if (Form == BodyFraming::Endless && Size != Sizes.front())
             continue;
           BOOST_TEST_CONTEXT(Path << ", " << Status << " " << Name << ", "
                                   << Size << " bytes")
-          Check(Answer{Status, Form, Size, {}}, Path);
+          Check(UpstreamAnswer{Status, Form, Size, {}}, Path);
         }
 }
 
@@ -121,7 +75,7 @@
 // Guards against "not run" for a request that has run: the check of buffered
 // answers was missing where longer ones are streamed.
 BOOST_AUTO_TEST_CASE(NoLengthOfItsBodyMakesItAPromise) {
-  forEachPromise(Sizes, [](const Answer &Given, const char *Path) {
+  forEachPromise(Sizes, [](const UpstreamAnswer &Given, const char *Path) {
     LogCapture Log;
     ExchangeRig R;
     unsigned Runs = 0;
@@ -132,7 +86,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(NoLengthOfItsBodyMakesItAPromiseOverAPeer) {
-  forEachPromise(Sizes, [](const Answer &Given, const char *Path) {
+  forEachPromise(Sizes, [](const UpstreamAnswer &Given, const char *Path) {
     LogCapture Log;
     CutGateway G;
     unsigned Runs = 0;
@@ -145,15 +99,16 @@
 
 BOOST_AUTO_TEST_CASE(NoLengthOfItsBodyMakesItAPromiseWhileBuffersAreScarce) {
   constexpr std::size_t ScarceSizes[] = {2000, MaxKeptScarce + 1};
-  forEachPromise(ScarceSizes, [](const Answer &Given, const char *Path) {
-    LogCapture Log;
-    ExchangeRig R;
-    unsigned Runs = 0;
-    R.upstream("u", answering(Given, Runs));
-    BufferCharge Others(R.m_State.m_Buffers);
-    Others.set(R.m_State.m_Buffers.limit());
-    checkIsNoPromise(R.ask(order(Path)), Log);
-  });
+  forEachPromise(ScarceSizes,
+                 [](const UpstreamAnswer &Given, const char *Path) {
+                   LogCapture Log;
+                   ExchangeRig R;
+                   unsigned Runs = 0;
+                   R.upstream("u", answering(Given, Runs));
+                   BufferCharge Others(R.m_State.m_Buffers);
+                   Others.set(R.m_State.m_Buffers.limit());
+                   checkIsNoPromise(R.ask(order(Path)), Log);
+                 });
 }
 
 // The request's body is still being sent when the answer comes.
@@ -162,7 +117,7 @@
     BOOST_TEST_CONTEXT(Size << " bytes") {
       LogCapture Log;
       ExchangeRig R;
-      Answer Given{503, Framing::Length, Size, {}};
+      const UpstreamAnswer Given{503, BodyFraming::Length, Size, {}};
       R.upstream("u", [&Given](ServerSide &Side) -> awaitable<void> {
         std::string Id = co_await Side.readHead();
         co_await Given.send(Side, Id);
@@ -185,7 +140,7 @@
       LogCapture Log;
       ExchangeRig R;
       unsigned Runs = 0;
-      R.upstream("u", answering(Answer{503, Form, 700000, {}}, Runs));
+      R.upstream("u", answering(UpstreamAnswer{503, Form, 700000, {}}, Runs));
       for (int I = 0; I < 4; ++I)
         BOOST_TEST(R.ask(order("/unsafe/x")).m_Head.m_Status == 502U);
       BOOST_TEST(Runs == 4U);
@@ -200,13 +155,11 @@
 BOOST_AUTO_TEST_CASE(OneThatBreaksOffIsALostAnswer) {
   for (std::size_t Size : Sizes) {
     LogCapture Log;
-    const Answer Given{503, Framing::Length, Size, {}};
+    UpstreamAnswer Given{503, BodyFraming::Length, Size, {}};
+    Given.m_BreaksOff = true;
+    unsigned Runs = 0;
     ExchangeRig R;
-    R.upstream("u", [&Given, Size](ServerSide &Side) -> awaitable<void> {
-      std::string Id = co_await Side.readRequest();
-      co_await Side.sendRaw(Given.head(Id) + std::string(Size - 1, 'e'));
-      Side.close();
-    });
+    R.upstream("u", answering(Given, Runs));
     BOOST_TEST(R.ask(order("/unsafe/x")).m_Head.m_Status == 502U);
     BOOST_TEST(Log.contains("answer-lost"), Size << " bytes");
   }
@@ -214,7 +167,7 @@
 
 // The caller needn't wait for the end of the body.
 BOOST_AUTO_TEST_CASE(CallerIsAnsweredBeforeASlowBodyEnds) {
-  const Answer Given{503, Framing::Length, 2000, {}};
+  const UpstreamAnswer Given{503, BodyFraming::Length, 2000, {}};
   ExchangeRig R;
   R.upstream("u", [&Given](ServerSide &Side) -> awaitable<void> {
     std::string Id = co_await Side.readRequest();
@@ -234,12 +187,12 @@
         std::string Fields = Status == 421 ? "" : "X-Not-Executed: 1\r\n";
         unsigned Runs = 0;
         ExchangeRig R;
-        R.upstream("u",
-                   answering({Status, Framing::Length, Size, Fields}, Runs));
+        R.upstream(
+            "u", answering({Status, BodyFraming::Length, Size, Fields}, Runs));
         BOOST_TEST(R.ask(order("/unsafe/x")).m_Head.m_Status == 503U);
         CutGateway G;
-        G.upstream("u",
-                   answering({Status, Framing::Length, Size, Fields}, Runs));
+        G.upstream(
+            "u", answering({Status, BodyFraming::Length, Size, Fields}, Runs));
         G.cut();
         BOOST_TEST(G.m_Rig.ask(order("/unsafe/x")).m_Head.m_Status == 503U);
       }
@@ -254,7 +207,8 @@
         BOOST_TEST_CONTEXT(Path << ", " << Status << ", " << Size << " bytes") {
           unsigned Runs = 0;
           ExchangeRig R;
-          R.upstream("u", answering({Status, Framing::Length, Size, {}}, Runs));
+          R.upstream("u",
+                     answering({Status, BodyFraming::Length, Size, {}}, Runs));
           HttpResponse Got = R.ask(order(Path));
           BOOST_TEST(Got.m_Head.m_Status == Status);
           BOOST_TEST(Got.m_Body.size() == Size);
