Entry: a connection whose request isn't sent carries no other call

What callers saw: an upstream that answers a call before it has read all of its body waited for the rest in vain, until the call's deadline, if the rest of its answer needed it. If its answer was whole, the next call on the connection failed before anything was sent.

Cause: the writer of the body was attached to the promise of the answer's head and dropped with it; the pool asked only whether the answer had been read.

Evidence: EntryAnswers, on the code before, with its sendRequest() moved to Connection::request(): ConnectionOfAnEarlyAnswerCarriesNoOtherCall gets "can't start new request until previous request body has been fully written", ServerThatBeginsItsAnswerEarlyGetsTheRestOfTheBody "operation timed out". The control, a connection whose call is whole, is used again before and after.

Why this works: request() writes the body until the body of the answer is dropped and records whether all was written; release() keeps a connection only then. The body of an answer goes before the connection that it uses, in the members of an answer and in the parameters of onResponse() (as read; no crash was seen).

Three runs of the suite and the process tests pass.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -141,20 +141,6 @@
           });
 }
 
-kj::Promise<kj::HttpClient::Response>
-CallFlow::sendRequest(Connection &Conn, const kj::HttpHeaders &RequestHeaders,
-                      const std::string &Url) {
-  auto Sent = Conn.m_Client->request(m_Request.m_Method, Url.c_str(),
-                                     RequestHeaders, m_Request.m_Body.size());
-  if (m_Request.m_Body.size() == 0)
-    return kj::mv(Sent.response);
-  auto &Body = *Sent.body;
-  auto Writing = Body.write(m_Request.m_Body.begin(), m_Request.m_Body.size())
-                     .attach(kj::mv(Sent.body))
-                     .eagerlyEvaluate([](kj::Exception && /*SeenByReader*/) {});
-  return Sent.response.attach(kj::mv(Writing));
-}
-
 kj::HttpHeaders CallFlow::upstreamHeaders(TimePoint Deadline) const {
   const HeaderIds &Ids = m_Worker.m_Headers.m_Ids;
   kj::HttpHeaders RequestHeaders = m_Request.m_Headers->clone();
@@ -171,7 +157,8 @@
   TimePoint SentAt = monotonicNow();
   kj::HttpHeaders RequestHeaders = upstreamHeaders(Deadline);
   auto ResponsePromise =
-      sendRequest(*Conn, RequestHeaders, m_Request.m_UpstreamUrl);
+      Conn->request(m_Request.m_Method, m_Request.m_UpstreamUrl.c_str(),
+                    RequestHeaders, m_Request.m_Body);
   return m_Worker.m_Timer.timeoutAt(toKjTime(Deadline), kj::mv(ResponsePromise))
       .then(
           [this, Conn = kj::mv(Conn), SentAt,
@@ -184,7 +171,7 @@
           });
 }
 
-kj::Promise<void> CallFlow::onResponse(kj::Own<Connection> Conn,
+kj::Promise<void> CallFlow::onResponse(kj::Own<Connection> &&Conn,
                                        kj::HttpClient::Response Response,
                                        Duration Latency, TimePoint Deadline) {
   constexpr kj::uint ServiceUnavailable = 503;
@@ -239,7 +226,7 @@
                 m_Request.m_Call.m_Ticket->m_Id, std::move(Stored));
           },
           [this, Deadline](kj::Exception && /*Failure*/) {
-            m_Answer = {};
+            dropAnswer();
             setAnswer(finishAttempt(lostOrTimedOut(Deadline)));
           });
 }
@@ -258,7 +245,8 @@
             RequestHeaders.set(Ids.m_Deadline,
                                kj::str(std::max<std::int64_t>(RemainingMs, 1)));
             auto ResponsePromise =
-                sendRequest(*Conn, RequestHeaders, m_Request.m_Url);
+                Conn->request(m_Request.m_Method, m_Request.m_Url.c_str(),
+                              RequestHeaders, m_Request.m_Body);
             return ResponsePromise.then(
                 [this, Conn = kj::mv(Conn)](
                     kj::HttpClient::Response &&Response) mutable {
@@ -279,7 +267,7 @@
       .catch_([this](kj::Exception && /*Failure*/) {
         // An earlier copy of this request may have reached the owner, so
         // the outcome can't be reported as "not run".
-        m_Answer = {};
+        dropAnswer();
         setAnswer(errorStep(ErrorKind::OwnerUnreachable));
       });
 }
@@ -392,6 +380,12 @@
   m_Id.reset();
 }
 
+void CallFlow::dropAnswer() {
+  // The body uses the connection.
+  m_Answer.m_UnreadBody = nullptr;
+  m_Answer = {};
+}
+
 void CallFlow::recordMetrics(ErrorKind Error, Outcome Value) {
   m_Worker.m_Shared.metrics().recordCall(
       {m_Request.m_Call.m_Service, m_Request.m_Call.m_Tenant, Error, Value,
--- a/src/entry/call_flow.h
+++ b/src/entry/call_flow.h
@@ -61,10 +61,10 @@
     kj::String m_StatusText;
     kj::Own<kj::HttpHeaders> m_Headers;
     std::string m_ReadBody; ///< Part of the body read so far.
-    kj::Own<kj::AsyncInputStream>
-        m_UnreadBody; ///< Null if m_ReadBody is the whole body.
     kj::Maybe<std::uint64_t> m_BodyLength;
     kj::Own<Connection> m_Connection;
+    /// Null if m_ReadBody is the whole body. It uses the connection.
+    kj::Own<kj::AsyncInputStream> m_UnreadBody;
     bool m_Relayed = false;
   };
 
@@ -84,7 +84,8 @@
   [[nodiscard]] kj::Promise<void> send(CallStep Step);
   [[nodiscard]] kj::Promise<void> exchangeWithUpstream(kj::Own<Connection> Conn,
                                                        TimePoint Deadline);
-  [[nodiscard]] kj::Promise<void> onResponse(kj::Own<Connection> Conn,
+  /// \param Conn A reference, as \p Response uses it until this returns.
+  [[nodiscard]] kj::Promise<void> onResponse(kj::Own<Connection> &&Conn,
                                              kj::HttpClient::Response Response,
                                              Duration Latency,
                                              TimePoint Deadline);
@@ -98,14 +99,12 @@
   replyStored(kj::HttpService::Response &CallerResponse);
   [[nodiscard]] kj::Promise<void>
   replyStreamed(kj::HttpService::Response &CallerResponse);
-  [[nodiscard]] kj::Promise<kj::HttpClient::Response>
-  sendRequest(Connection &Conn, const kj::HttpHeaders &RequestHeaders,
-              const std::string &Url);
   [[nodiscard]] kj::HttpHeaders upstreamHeaders(TimePoint Deadline) const;
   [[nodiscard]] kj::TimePoint toKjTime(TimePoint Deadline) const;
   [[nodiscard]] CallStep finishAttempt(AttemptResult End);
   [[nodiscard]] AttemptResult lostOrTimedOut(TimePoint Deadline) const;
   void setAnswer(CallStep Step);
+  void dropAnswer();
   void recordMetrics(ErrorKind Error, Outcome Value);
 
   WorkerContext &m_Worker;
--- a/src/entry/connections.cpp
+++ b/src/entry/connections.cpp
@@ -19,6 +19,27 @@
 
 } // namespace
 
+kj::Promise<kj::HttpClient::Response>
+Connection::request(kj::HttpMethod Method, kj::StringPtr Url,
+                    const kj::HttpHeaders &Headers,
+                    kj::ArrayPtr<const kj::byte> Body) {
+  auto Sent = m_Client->request(Method, Url, Headers, Body.size());
+  m_HasSentAll = Body.size() == 0;
+  if (m_HasSentAll)
+    return kj::mv(Sent.response);
+  auto &Stream = *Sent.body;
+  auto Writing = Stream.write(Body.begin(), Body.size())
+                     .then([this] { m_HasSentAll = true; })
+                     .attach(kj::mv(Sent.body))
+                     .eagerlyEvaluate([](kj::Exception && /*SeenByReader*/) {});
+  // A server may begin its answer before it has read the request.
+  return Sent.response.then(
+      [Writing = kj::mv(Writing)](kj::HttpClient::Response &&Response) mutable {
+        Response.body = Response.body.attach(kj::mv(Writing));
+        return kj::mv(Response);
+      });
+}
+
 kj::Promise<kj::Own<Connection>>
 ConnectionPool::connect(const std::string &Address, bool ForceNew) {
   auto &Idle = m_Idle[Address];
@@ -48,6 +69,8 @@
 }
 
 void ConnectionPool::release(kj::Own<Connection> Conn) {
+  if (!Conn->m_HasSentAll)
+    return;
   setAbortOnClose(*Conn->m_Stream, false);
   auto &Idle = m_Idle[Conn->m_Address];
   if (Idle.size() >= MaxIdleConnections)
--- a/src/entry/connections.h
+++ b/src/entry/connections.h
@@ -17,18 +17,29 @@
 
 /// \brief One connection and the HTTP client that uses it.
 struct Connection {
+  /// \brief Sends a request. Its body is written beside the reading of the
+  /// response, until the response's body is dropped.
+  /// \param Body Outlives the promise and the response's body.
+  /// \pre m_HasSentAll
+  [[nodiscard]] kj::Promise<kj::HttpClient::Response>
+  request(kj::HttpMethod Method, kj::StringPtr Url,
+          const kj::HttpHeaders &Headers, kj::ArrayPtr<const kj::byte> Body);
+
   std::string m_Address;
   kj::Own<AnswerStream> m_Stream;
   kj::Own<kj::HttpClient> m_Client;
   kj::TimePoint m_IdleSince = kj::origin<kj::TimePoint>();
   bool m_Reused = false;
+  /// Whether all that the last request's head announces has been written.
+  bool m_HasSentAll = true;
 };
 
 /// \brief Opens connections and keeps idle ones for reuse for a short time.
 ///
-/// Invariant: a connection is returned to the pool only after its response was
-/// read to the end; after an error, timeout or cancellation it is aborted, so
-/// that its request doesn't arrive after the caller has been answered.
+/// Invariant: a connection is kept only after its request was sent and its
+/// response was read to the end; after an early answer, an error, timeout or
+/// cancellation it is aborted, so that its request doesn't arrive after the
+/// caller has been answered.
 class ConnectionPool {
 public:
   ConnectionPool(kj::Network &Network, kj::Timer &Timer,
@@ -40,7 +51,8 @@
   [[nodiscard]] kj::Promise<kj::Own<Connection>>
   connect(const std::string &Address, bool ForceNew);
 
-  /// \brief Returns a connection whose response was read to the end.
+  /// \brief Returns a connection whose response was read to the end, and
+  /// dropped. It is aborted unless its request has been sent.
   void release(kj::Own<Connection> Conn);
 
   /// \brief Closes connections that have been idle for too long.
--- a/tests/unit/entry_answer_test.cpp
+++ b/tests/unit/entry_answer_test.cpp
@@ -11,6 +11,8 @@
 
 #include <kj/async-io.h>
 
+#include <algorithm>
+
 using namespace mustardspoke;
 using namespace mustardspoke::test;
 
@@ -27,6 +29,8 @@
 /// After which a client whose event loop is late finds answer and end at once.
 constexpr std::chrono::milliseconds LateBy(150);
 
+constexpr kj::Duration CallTimeout = 2 * kj::SECONDS;
+
 using End = void (*)(steer::Tcp::socket &Socket);
 
 void endInOrder(steer::Tcp::socket &Socket) {
@@ -63,15 +67,16 @@
 public:
   explicit EntryClient(const std::string &Address)
       : m_Pool(m_Io.provider->getNetwork(), m_Io.provider->getTimer(), m_Table),
-        m_Connection(m_Pool.connect(Address, true).wait(m_Io.waitScope)) {}
+        m_Address(Address) {}
 
   /// \param IsLate The event loop stands still meanwhile.
   /// \returns The size of the answer's body, or nothing if it is incomplete.
   std::optional<std::size_t> upload(bool IsLate) {
     std::string Body(UploadBytes, 'u');
     std::optional<std::size_t> Received;
+    auto Used = m_Pool.connect(m_Address, true).wait(m_Io.waitScope);
     (void)kj::runCatchingExceptions([&] {
-      auto Sent = m_Connection->m_Client->request(
+      auto Sent = Used->m_Client->request(
           kj::HttpMethod::POST, "/x", kj::HttpHeaders(m_Table), Body.size());
       auto &Stream = *Sent.body;
       auto Writing = Stream.write(Body.data(), Body.size())
@@ -89,13 +94,51 @@
     return Received;
   }
 
+  /// \brief Makes a call on a connection of the pool.
+  /// \returns The answer's body, or the error.
+  std::string call(std::size_t BodyBytes) {
+    std::string Result;
+    auto Failure = kj::runCatchingExceptions([&] {
+      auto Used = m_Pool.connect(m_Address, false).wait(m_Io.waitScope);
+      Result = m_Io.provider->getTimer()
+                   .timeoutAfter(CallTimeout, exchange(*Used, BodyBytes))
+                   .wait(m_Io.waitScope)
+                   .cStr();
+      m_Pool.release(kj::mv(Used));
+    });
+    KJ_IF_MAYBE (Thrown, Failure)
+      Result = Thrown->getDescription().cStr();
+    return Result;
+  }
+
 private:
+  kj::Promise<kj::String> exchange(Connection &Used, std::size_t BodyBytes) {
+    auto Body = kj::heapArray<kj::byte>(BodyBytes);
+    std::fill(Body.begin(), Body.end(), kj::byte('u'));
+    return Used
+        .request(kj::HttpMethod::POST, "/x", kj::HttpHeaders(m_Table), Body)
+        .then([](kj::HttpClient::Response &&Response) {
+          auto Reading = Response.body->readAllText();
+          return Reading.attach(kj::mv(Response.body));
+        })
+        .attach(kj::mv(Body));
+  }
+
   kj::AsyncIoContext m_Io = kj::setupAsyncIo();
   kj::HttpHeaderTable m_Table;
   ConnectionPool m_Pool;
-  kj::Own<Connection> m_Connection;
+  std::string m_Address;
 };
 
+/// \brief Reads \p Bytes, or less if the connection ends.
+void readBytes(steer::Tcp::socket &Socket, std::size_t Bytes) {
+  char Buffer[65536];
+  steer::NetError Error;
+  while (!Error && Bytes > 0)
+    Bytes -= Socket.read_some(
+        steer::asio::buffer(Buffer, std::min(Bytes, sizeof Buffer)), Error);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(EntryAnswers)
@@ -120,6 +163,49 @@
     }
 }
 
+// Guards against a call whose head is never sent, as the connection still owes
+// the body of the call before it.
+BOOST_AUTO_TEST_CASE(ConnectionOfAnEarlyAnswerCarriesNoOtherCall) {
+  RawServer Server([](steer::Tcp::socket &Socket) {
+    RawServer::answer(Socket,
+                      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly");
+    std::this_thread::sleep_for(FillTime);
+    readBytes(Socket, 2 * UploadBytes);
+  });
+  useSmallSegments(Server.listeningFd());
+  EntryClient Client(Server.address());
+  BOOST_TEST(Client.call(UploadBytes) == "early");
+  BOOST_TEST(Client.call(UploadBytes) == "early");
+}
+
+// Guards against an upstream that waits for the rest of a body in vain.
+BOOST_AUTO_TEST_CASE(ServerThatBeginsItsAnswerEarlyGetsTheRestOfTheBody) {
+  RawServer Server([](steer::Tcp::socket &Socket) {
+    RawServer::answer(Socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    readBytes(Socket, UploadBytes - RawServer::MaxFirstRead);
+    steer::NetError Ignored;
+    steer::asio::write(Socket, steer::asio::buffer("whole", 5), Ignored);
+    readBytes(Socket, UploadBytes);
+  });
+  useSmallSegments(Server.listeningFd());
+  BOOST_TEST(EntryClient(Server.address()).call(UploadBytes) == "whole");
+}
+
+// Control: a connection whose request has been sent is used again.
+BOOST_AUTO_TEST_CASE(ConnectionOfAWholeCallCarriesTheNext) {
+  RawServer Server([](steer::Tcp::socket &Socket) {
+    for (const char *Body : {"1", "2"}) {
+      RawServer::answer(
+          Socket,
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n") + Body);
+    }
+    readBytes(Socket, UploadBytes);
+  });
+  EntryClient Client(Server.address());
+  BOOST_TEST(Client.call(0) == "1");
+  BOOST_TEST(Client.call(0) == "2");
+}
+
 BOOST_AUTO_TEST_CASE(CommandLineTakesNoPartForTheWhole) {
   for (std::size_t BodyBytes : {std::size_t(0), UploadBytes}) {
     EarlyAnswer Server(RawServer::reset);
