Gateway: a streamed success counts as a success of its upstream

What callers saw: an upstream whose answers are long, as on a route for downloads, was ejected by the second failure, however many answers it had given between them; its region had an upstream less.

Cause: recordAnswer() recorded successes of answers that are kept until their end only, for their latency. Failures were recorded for both.

Evidence: LongFailures/RareFailuresAmongSuccessesOfAnyLengthDoNotEject, each tenth request fails, 700,000 bytes: the upstream is ejected before, over own links and over a peer, and isn't now. Answers of 2,000 bytes never ejected it.

Why this works: a streamed success resets the failures as one over a peer does: without a time, as its caller has a part in that.

In the tests, scripted upstreams send each part at once: with the system's delay of small segments, 60 answers in two parts took longer than a peer's heartbeat is believed.

--- a/src/gateway/exchange_outcome.cpp
+++ b/src/gateway/exchange_outcome.cpp
@@ -113,11 +113,11 @@
     recordUpstreamAnswer();
   if (isServerError(m_Outcome.m_Status) && m_Route->idempotent())
     Target.recordFailure(m_Outcome.m_AnsweredAt, Tuning);
-  if (!isSuccess(m_Outcome.m_Status) ||
-      m_Outcome.m_Result != AttemptResult::Answered)
+  if (!isSuccess(m_Outcome.m_Status))
     return;
-  if (m_Outcome.isRelayed()) {
-    Target.recordRelayedSuccess(m_Outcome.m_AnsweredAt, Tuning);
+  bool IsStreamed = m_Outcome.m_Result == AttemptResult::Streamed;
+  if (m_Outcome.isRelayed() || IsStreamed) {
+    Target.recordUntimedSuccess(m_Outcome.m_AnsweredAt, Tuning);
   } else {
     Duration Work = Target.recordSuccess(
         m_Outcome.m_AnsweredAt, m_Outcome.m_AnsweredAt - m_Outcome.m_SentAt,
@@ -128,6 +128,8 @@
     m_State.m_Upstreams.recordProcessingTime(Target.m_Registration.m_Service,
                                              Work, IsHeld);
   }
+  if (IsStreamed)
+    return;
   double &Mean = m_State.m_MeanResponseBytes[m_Route->m_Name];
   Mean += (double(m_Outcome.m_BodyBytes) - Mean) * ResponseSizeWeight;
 }
--- a/src/steer/upstream.cpp
+++ b/src/steer/upstream.cpp
@@ -12,7 +12,7 @@
   m_InFlightAtReport = m_InFlight;
 }
 
-void Upstream::recordRelayedSuccess(
+void Upstream::recordUntimedSuccess(
     TimePoint Now, const UpstreamHealthTuning &Tuning) noexcept {
   m_LastAnswerAt = Now;
   m_ConsecutiveFailures = 0;
@@ -33,7 +33,7 @@
 Duration Upstream::recordSuccess(TimePoint Now, Duration Latency,
                                  double LoadBefore,
                                  const UpstreamHealthTuning &Tuning) {
-  recordRelayedSuccess(Now, Tuning);
+  recordUntimedSuccess(Now, Tuning);
   double QueueFactor =
       std::max(1.0, LoadBefore / double(m_Registration.m_Slots));
   double RoundTrip = double(m_RoundTripTime.count());
--- a/src/steer/upstream.h
+++ b/src/steer/upstream.h
@@ -137,9 +137,9 @@
   /// \brief Records that it has ended: it is ejected until its registration is
   /// gone or names a new start.
   void recordEnd(TimePoint Now, const UpstreamHealthTuning &Tuning);
-  /// \brief Records an answer that came over a peer's link, whose latency
-  /// isn't that of this VM's.
-  void recordRelayedSuccess(TimePoint Now,
+  /// \brief Records a complete answer whose latency isn't the upstream's alone:
+  /// it came over a peer's link, or its caller has delayed it.
+  void recordUntimedSuccess(TimePoint Now,
                             const UpstreamHealthTuning &Tuning) noexcept;
   /// \brief Takes back the failures of a time in which this VM's own link was
   /// to blame, with the ejection that they caused. \param Since Begin of that
--- a/tests/support/server_side.cpp
+++ b/tests/support/server_side.cpp
@@ -43,7 +43,11 @@
 
 ServerSide::ServerSide(asio::io_context &Io, Tcp::socket Socket)
     : m_Io(Io), m_Socket(std::move(Socket)),
-      m_Parser(HttpParser::Role::Requests, 65536, 64 << 20) {}
+      m_Parser(HttpParser::Role::Requests, 65536, 64 << 20) {
+  // Each part of an answer is to arrive by itself, and at once.
+  NetError Ignored;
+  m_Socket.set_option(Tcp::no_delay(true), Ignored);
+}
 
 awaitable<bool> ServerSide::readMore() {
   if (m_Parser.done())
--- a/tests/unit/long_failure_test.cpp
+++ b/tests/unit/long_failure_test.cpp
@@ -82,6 +82,39 @@
   }
 }
 
+// Guards against an upstream that is ejected after few failures among many long
+// answers, none of which counted as a success.
+BOOST_AUTO_TEST_CASE(RareFailuresAmongSuccessesOfAnyLengthDoNotEject) {
+  for (bool ByPeer : {false, true})
+    for (std::size_t Size : Sizes) {
+      BOOST_TEST_CONTEXT(Size << " bytes" << (ByPeer ? ", over a peer" : "")) {
+        CutGateway G;
+        unsigned Requests = 0;
+        const UpstreamAnswer Success{200, BodyFraming::Length, Size, Signature};
+        G.upstream("u", [&](ServerSide &Side) -> awaitable<void> {
+          for (;;) {
+            std::string Id = co_await Side.readRequest();
+            if (Id.empty())
+              co_return;
+            if (++Requests % 10 == 0)
+              Side.reset();
+            else
+              co_await Success.send(Side, Id);
+          }
+        });
+        if (ByPeer)
+          G.cut();
+        unsigned Served = 0;
+        for (int I = 0; I < 30; ++I)
+          Served +=
+              isSuccess(G.m_Rig.ask(request("/unsafe/x")).m_Head.m_Status);
+        BOOST_TEST(Served == 27U);
+        Upstream &Target = *G.m_Rig.m_State.m_Upstreams.find("u");
+        BOOST_TEST(!Target.isEjected(steadyNow()));
+      }
+    }
+}
+
 constexpr const char *RepeatablePaths[] = {"/safe/x", "/download/x"};
 
 // Guards against callers who get a failure that a second attempt would have
