--- a/src/gateway/answer_verdict.cpp
+++ b/src/gateway/answer_verdict.cpp
@@ -5,7 +5,7 @@
 namespace mustardspoke::steer {
 namespace {
 
-/// \brief Whether \p Status tells a caller that its request has not run.
+/// \brief Whether \p Status means to callers that their request has not run.
 bool meansNotRun(unsigned Status) {
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
--- a/src/gateway/answer_verdict.h
+++ b/src/gateway/answer_verdict.h
@@ -23,9 +23,9 @@
   /// A success without the marks of an upstream's own answer: it counts as
   /// lost.
   UnprovedSuccess,
-  /// A status that tells callers that their request has not run, without the
-  /// upstream's statement. The request may have run, and must not be repeated:
-  /// the caller gets another status.
+  /// A status that means "not run" to callers, but without the upstream's
+  /// statement of it. The request may have run, and must not be repeated: the
+  /// caller gets another status.
   UnprovedRefusal,
 };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -49,7 +49,7 @@
   /// The own link was left, as the links were lost meanwhile.
   bool m_LeftOwnLink = false;
   bool m_IsTrial = false;      ///< See CrashVerdict::Trial.
-  bool m_RetryGranted = false; ///< mayRetry() has been asked.
+  bool m_RetryGranted = false; ///< By mayRetry().
 
   [[nodiscard]] bool isRelayed() const noexcept { return !m_Peer.empty(); }
 };
@@ -210,7 +210,7 @@
   /// reused.
   /// \returns False if the upstream broke the message off.
   awaitable<bool> finishMessage(Upstream &Target, HttpParser &Parser);
-  /// \brief Does with an answer what its head asks for.
+  /// \brief Handles an answer as \p Verdict requires.
   awaitable<AttemptResult> handleAnswer(UpstreamPtr Target, HttpParser &Parser,
                                         AnswerVerdict Verdict);
   /// \brief Ends the attempt after an answer that the caller must not get.
--- a/tests/unit/entry_answer_test.cpp
+++ b/tests/unit/entry_answer_test.cpp
@@ -163,8 +163,8 @@
     }
 }
 
-// Guards against a call whose head is never sent, as the connection still owes
-// the body of the call before it.
+// Guards against a call whose head is never sent, as the request before it is
+// incomplete.
 BOOST_AUTO_TEST_CASE(ConnectionOfAnEarlyAnswerCarriesNoOtherCall) {
   RawServer Server([](steer::Tcp::socket &Socket) {
     RawServer::answer(Socket,
--- a/tests/unit/long_failure_test.cpp
+++ b/tests/unit/long_failure_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Failures of upstreams, with bodies of all lengths, through real sockets on
-/// loopback: what the log tells of them, and whether another upstream is tried.
+/// loopback: how they are logged, whether another upstream is tried, and when
+/// the upstream is ejected.
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
