--- a/tests/support/exchange_rig.cpp
+++ b/tests/support/exchange_rig.cpp
@@ -161,11 +161,15 @@
   // Each part is to arrive by itself.
   NetError Ignored;
   Socket.set_option(Tcp::no_delay(true), Ignored);
+  NetError WriteError;
   for (const TimedBytes &Part : *Parts) {
     if (Part.m_Delay > Duration::zero())
       co_await sleepFor(m_Io, Part.m_Delay);
     co_await asio::async_write(Socket, asio::buffer(Part.m_Bytes),
-                               noThrow(Error));
+                               noThrow(WriteError));
+    // A further write would wait for ever. An answer may have arrived.
+    if (WriteError)
+      break;
   }
   if (CloseAfter)
     Timer.arm(Socket, steadyNow() + *CloseAfter);
