Soak: settings are written to new files, as truncated ones wait for the disk

The soak's process stood still for 9 to 72 s.

Cause, as far as shown: the file system writes a file that was truncated to the disk when it closes.

Now the old file is removed and a new one written. A VM that reads its settings meanwhile finds none or a part, as before.

--- a/tests/soak/local_deployment.cpp
+++ b/tests/soak/local_deployment.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 
 namespace mustardspoke::soak {
@@ -190,6 +191,10 @@
 }
 
 void LocalDeployment::rewriteSettings(unsigned Vm) const {
+  // A new file: one that is truncated is written to the disk when it closes,
+  // which stops this process while the disk is busy.
+  std::error_code Ignored;
+  std::filesystem::remove(settingsPath(Vm), Ignored);
   std::ofstream(settingsPath(Vm)) << settingsOf(Vm);
 }
 
