Log: which regions bound a request, how old the configuration is, whom look-ups name

An on-call engineer could tell neither the allowed regions that a request was routed under, nor whether a newer configuration was known or how old the held one was, nor anything of look-ups.

Which VMs a look-up names is unchanged.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -465,6 +465,23 @@
   co_return StillConnected && !m_ClosesConnection;
 }
 
+std::string Exchange::boundRegions() const {
+  std::string Text;
+  auto Add = [&Text](std::string_view Owner,
+                     std::span<const RegionName> Regions) {
+    if (Regions.empty())
+      return;
+    Text.append(Text.empty() ? "" : " ").append(Owner);
+    for (const RegionName &Region : Regions)
+      Text.append(&Region == &Regions.front() ? ":" : ",").append(Region.str());
+  };
+  if (m_Route)
+    Add("route", m_Route->m_AllowedRegions);
+  if (m_Customer)
+    Add("customer", m_Customer->m_AllowedRegions);
+  return Text;
+}
+
 void Exchange::record(ErrorKind Error, unsigned Status,
                       std::string_view Reason) {
   returnUnusedQuota();
@@ -483,12 +500,20 @@
   for (const UpstreamPtr &Target : m_Tried)
     UpstreamIds +=
         (UpstreamIds.empty() ? "" : " ") + Target->m_Registration.m_Id;
+  TimePoint Now = steadyNow();
+  std::optional<Duration> StoreAge = m_State.storeAge(Now);
   logEvent(
       Error == ErrorKind::None ? LogLevel::Info : LogLevel::Warning,
       servesPeer() ? "relayed-attempt" : "request",
       {{"id", m_Metadata.m_RequestId},
        {"route", m_Route ? m_Route->m_Name : ""},
        {"routes", std::to_string(m_Routes ? m_Routes->m_Version : 0)},
+       {"newestRoutes",
+        std::to_string(m_State.m_Routes ? m_State.m_Routes->m_Version : 0)},
+       {"newestAgeMs",
+        std::to_string(toMillis(Now - m_State.m_RoutesAdoptedAt))},
+       {"storeAgeMs", StoreAge ? std::to_string(toMillis(*StoreAge)) : ""},
+       {"allowedRegions", boundRegions()},
        {"service", m_TargetService.str()},
        {"customer", m_Customer ? m_Customer->m_Name.str() : ""},
        {"priority", m_Route && !servesPeer() ? std::to_string(priority()) : ""},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -272,6 +272,9 @@
   /// \brief Whether a response on m_Connection answers this attempt.
   [[nodiscard]] bool isOwnAnswer(const ResponseMetadata &Metadata) const;
   [[nodiscard]] Duration remaining() const { return m_Deadline - steadyNow(); }
+  /// \brief The regions that route and customer allow, for the log; empty if
+  /// both allow every region.
+  [[nodiscard]] std::string boundRegions() const;
   void record(ErrorKind Error, unsigned Status, std::string_view Reason);
   /// \brief The same for an answer of an upstream that was passed on.
   /// \param Reason Of a success.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/explain.h"
 #include "gateway/limit_report.h"
 #include "gateway/link_monitor.h"
+#include "gateway/lookup_report.h"
 #include "gateway/peers.h"
 #include "gateway/share_report.h"
 #include "gateway/task.h"
@@ -136,6 +137,7 @@
   PeerService m_Peers;
   LinkMonitor m_LinkMonitor;
   BufferLog m_BufferLog;
+  LookupReport m_Lookups;
   asio::signal_set m_Signals;
 };
 
@@ -157,13 +159,14 @@
   Fleet &Peers = m_State.m_Fleet;
   Peers.m_Self.m_Ready = m_State.ready();
   Peers.m_Self.m_Leaving = m_State.m_Leaving;
-  std::vector<std::string> Addresses =
-      Peers.lookupAddresses(CallerPlacement, steadyNow());
-  if (Addresses.empty())
+  LookupAnswer Answer = Peers.answerLookup(CallerPlacement, steadyNow());
+  m_Lookups.record(CallerPlacement, Answer, steadyNow() - m_State.m_StartedAt);
+  if (Answer.m_Addresses.empty())
     return completeResponse(503, "text/plain", "no entry VM is ready\n");
-  return completeResponse(200, "application/json",
-                          m_State.m_WireFormat.m_MakeLookupBody(
-                              Addresses, m_State.m_Settings.m_LookupTtl));
+  return completeResponse(
+      200, "application/json",
+      m_State.m_WireFormat.m_MakeLookupBody(Answer.m_Addresses,
+                                            m_State.m_Settings.m_LookupTtl));
 }
 
 std::string Gateway::metricsPage(const HttpHead &Head) {
@@ -178,7 +181,7 @@
           quotaExposition(m_State.m_Quotas) +
           crashExposition(m_State.m_CrashSuspects) +
           bufferExposition(m_State.m_Buffers) +
-          linkExposition(m_State.m_OwnLinks));
+          linkExposition(m_State.m_OwnLinks) + m_Lookups.exposition());
 }
 
 std::string Gateway::notFoundPage(const HttpHead & /*Head*/) {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -297,6 +297,7 @@
   }
   if (Heartbeat.m_Sender.m_DoubtsLinks)
     m_State.m_OwnLinks.notifyChange();
+  noteReportedRoutes(Heartbeat);
   m_Replica.receivedDepartures(Heartbeat.m_AnnouncedRuns,
                                Heartbeat.m_RemovedRuns,
                                Heartbeat.m_Sender.m_Vm);
@@ -334,6 +335,19 @@
   fetchRowsIfBehind(Heartbeat);
 }
 
+void PeerService::noteReportedRoutes(const Heartbeat &Heartbeat) {
+  std::uint64_t Own = m_State.m_Routes ? m_State.m_Routes->m_Version : 0;
+  if (Heartbeat.m_ConfigVersion <=
+      std::max(Own, m_State.m_ReportedRoutes.m_Version))
+    return;
+  m_State.m_ReportedRoutes = {Heartbeat.m_ConfigVersion, steadyNow()};
+  logEvent(LogLevel::Info, "configuration-behind",
+           {{"version", std::to_string(Own)},
+            {"newest", std::to_string(Heartbeat.m_ConfigVersion)},
+            {"peer", Heartbeat.m_Sender.m_Vm.str()},
+            {"peerRegion", Heartbeat.m_Sender.m_Region.str()}});
+}
+
 bool PeerService::mayFetch(const std::string &Address, TimePoint Now) const {
   Duration Age = Now - m_LastFetchAt;
   if (m_FetchingFrom.empty())
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -54,6 +54,8 @@
   /// \brief Brings the quotas up to date for the heartbeats of a round.
   void refreshQuotas();
   void handleHeartbeat(const Heartbeat &Heartbeat);
+  /// \brief Notes that the sender has a newer configuration than this VM.
+  void noteReportedRoutes(const Heartbeat &Heartbeat);
   /// \brief Whether rows may be fetched from this peer: usually, one fetch runs
   /// at a time.
   [[nodiscard]] bool mayFetch(const std::string &Address, TimePoint Now) const;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -50,6 +50,12 @@
   std::function<void()> m_OnStop;
 };
 
+/// \brief The newest configuration version that any peer has reported.
+struct ReportedRoutes {
+  std::uint64_t m_Version = 0; ///< 0: none.
+  TimePoint m_ReportedAt{};    ///< First report of this version.
+};
+
 /// \brief Shared state and counters of one gateway process.
 struct GatewayState {
   GatewayState(asio::io_context &Loop, GatewaySettings Settings,
@@ -68,6 +74,9 @@
   GatewayStrategies m_Strategies;
 
   RouteTablePtr m_Routes; ///< Null until the first configuration is adopted.
+  TimePoint m_RoutesAdoptedAt{}; ///< When m_Routes was set.
+  ReportedRoutes m_ReportedRoutes;
+  TimePoint m_StoreReachedAt{}; ///< Last answer of the store to this VM.
   UpstreamTable m_Upstreams;
   OwnLinks m_OwnLinks;
   Fleet m_Fleet;
@@ -112,6 +121,14 @@
   [[nodiscard]] bool ready() const noexcept {
     return m_Routes && m_Upstreams.size() > 0 && !m_Leaving;
   }
+  /// \brief Time since the store has answered this VM or a reader of its
+  /// region, whose rows it follows; nothing if that isn't known.
+  [[nodiscard]] std::optional<Duration> storeAge(TimePoint Now) const {
+    std::optional<Duration> Age = m_Fleet.readerAge(Now);
+    if (m_StoreReachedAt != TimePoint())
+      Age = std::min(Age.value_or(Duration::max()), Now - m_StoreReachedAt);
+    return Age;
+  }
   /// \brief Begins a shutdown, at whose end requests are ended.
   void beginStop(TimePoint StopsAt) noexcept {
     m_Leaving = true;
--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -96,8 +96,10 @@
   bool Reachable = Result.m_CallStatus == StoreCallStatus::Done ||
                    Result.m_CallStatus == StoreCallStatus::Conflict ||
                    Result.m_CallStatus == StoreCallStatus::HistoryGone;
-  if (Reachable)
+  if (Reachable) {
+    m_State.m_StoreReachedAt = steadyNow();
     noteEra(eraOf(Result.m_Version), CallName);
+  }
   if (Reachable == m_StoreReachable)
     return;
   bool IsFirstAnswer = m_StoreLostAt == TimePoint();
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -363,27 +363,28 @@
   return Result;
 }
 
-void Fleet::dropSmallVms(std::vector<const EntryVm *> &Vms) const {
+void Fleet::dropSmallVms(std::vector<LookupCandidate> &Vms) const {
   double Largest = 0;
-  for (const EntryVm *Vm : Vms)
-    Largest = std::max(Largest, Vm->m_Capacity);
-  auto IsLarge = [&](const EntryVm *Vm) {
-    return Vm->m_Capacity >= Largest * m_Tuning.m_SmallVmFraction;
+  for (const LookupCandidate &Each : Vms)
+    Largest = std::max(Largest, Each.m_Vm->m_Capacity);
+  auto IsLarge = [&](const LookupCandidate &Each) {
+    return Each.m_Vm->m_Capacity >= Largest * m_Tuning.m_SmallVmFraction;
   };
   std::size_t Count = 0;
   bool Busy = false;
-  for (const EntryVm *Vm : Vms)
-    if (IsLarge(Vm)) {
+  for (const LookupCandidate &Each : Vms)
+    if (IsLarge(Each)) {
       ++Count;
-      Busy = Busy || Vm->m_TimerLag > m_Tuning.m_BusyTimerLag;
+      Busy = Busy || Each.m_Vm->m_TimerLag > m_Tuning.m_BusyTimerLag;
     }
   if (!Busy && Count >= m_Tuning.m_MinLookupAddresses)
-    std::erase_if(Vms, [&](const EntryVm *Vm) { return !IsLarge(Vm); });
+    std::erase_if(Vms,
+                  [&](const LookupCandidate &Each) { return !IsLarge(Each); });
 }
 
-void Fleet::dropUnlinkedVms(std::vector<const EntryVm *> &Vms) const {
-  auto IsUnlinked = [](const EntryVm *Vm) {
-    return Vm->m_Links == LinkState::Lost;
+void Fleet::dropUnlinkedVms(std::vector<LookupCandidate> &Vms) const {
+  auto IsUnlinked = [](const LookupCandidate &Each) {
+    return Each.m_Vm->m_Links == LinkState::Lost;
   };
   auto Unlinked = std::ranges::count_if(Vms, IsUnlinked);
   double Linked = double(Vms.size()) - double(Unlinked);
@@ -460,29 +461,40 @@
   });
 }
 
-std::vector<std::string> Fleet::lookupAddresses(const Placement &Caller,
-                                                TimePoint Now) const {
-  std::vector<const EntryVm *> Local;
-  std::vector<const EntryVm *> Remote;
-  auto Add = [&](const EntryVm &Vm) {
+LookupAnswer Fleet::answerLookup(const Placement &Caller, TimePoint Now) const {
+  LookupAnswer Answer;
+  std::vector<LookupCandidate> Local;
+  std::vector<LookupCandidate> Remote;
+  auto Add = [&](const EntryVm &Vm, Duration Age) {
     if (Vm.m_Ready && !Vm.m_Leaving)
-      (Vm.m_Region == Caller.m_Region ? Local : Remote).push_back(&Vm);
+      (Vm.m_Region == Caller.m_Region ? Local : Remote).push_back({&Vm, Age});
   };
-  Add(m_Self);
-  for (const auto &[Vm, Entry] : m_Peers)
+  auto CountKnown = [&](const EntryVm &Vm) {
+    Answer.m_KnownCount += Vm.m_Region == Caller.m_Region ? 1U : 0U;
+  };
+  CountKnown(m_Self);
+  Add(m_Self, Duration::zero());
+  for (const auto &[Vm, Entry] : m_Peers) {
+    CountKnown(Entry.m_State);
     if (isLive(Entry, Now))
-      Add(Entry.m_State);
+      Add(Entry.m_State, Now - *Entry.m_LastHeardAt);
+  }
+  Answer.m_ReadyCount = Local.size();
   dropUnlinkedVms(Local);
   dropSmallVms(Local);
-  std::vector<std::string> Result;
-  for (const EntryVm *Vm : Local)
-    Result.push_back(Vm->m_CallerAddress);
-  for (const EntryVm *Vm : Remote)
-    if (Result.size() < m_Tuning.m_MinLookupAddresses)
-      Result.push_back(Vm->m_CallerAddress);
-  if (Result.size() > m_Tuning.m_MaxLookupAddresses)
-    Result.resize(m_Tuning.m_MaxLookupAddresses);
-  return Result;
+  auto Name = [&](const LookupCandidate &Each) {
+    Answer.m_Addresses.push_back(Each.m_Vm->m_CallerAddress);
+    Answer.m_OldestAge = std::max(Answer.m_OldestAge, Each.m_Age);
+  };
+  Local.resize(std::min(Local.size(), m_Tuning.m_MaxLookupAddresses));
+  std::ranges::for_each(Local, Name);
+  for (const LookupCandidate &Each : Remote) {
+    if (Answer.m_Addresses.size() >= m_Tuning.m_MinLookupAddresses)
+      break;
+    Name(Each);
+    ++Answer.m_RemoteCount;
+  }
+  return Answer;
 }
 
 } // namespace mustardspoke::steer
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -130,6 +130,19 @@
   double m_ActiveRequests = 0;     ///< See Upstream::ownActiveRequests().
 };
 
+/// \brief Entry VMs that a look-up names, and what was known of the others.
+struct LookupAnswer {
+  std::vector<std::string> m_Addresses; ///< Of callers, best first.
+  std::size_t m_RemoteCount = 0; ///< How many of them are of other regions.
+  /// VMs of the caller's region that are alive and ready.
+  std::size_t m_ReadyCount = 0;
+  /// All VMs of the caller's region of which this VM has a row or heard.
+  std::size_t m_KnownCount = 0;
+  /// When the named VM that was silent longest was last heard from; zero if
+  /// only this VM is named.
+  Duration m_OldestAge{};
+};
+
 /// \brief Fleet membership by heartbeats; rows in the store serve discovery.
 class Fleet {
 public:
@@ -274,13 +287,18 @@
   /// \brief Whether a peer that is heard from doubts its links.
   [[nodiscard]] bool anyPeerDoubtsLinks(TimePoint Now) const;
 
-  /// \brief Caller addresses for a caller at \p Caller, best first.
-  [[nodiscard]] std::vector<std::string>
-  lookupAddresses(const Placement &Caller, TimePoint Now) const;
+  /// \brief The VMs for a caller at \p Caller.
+  [[nodiscard]] LookupAnswer answerLookup(const Placement &Caller,
+                                          TimePoint Now) const;
 
 private:
-  void dropSmallVms(std::vector<const EntryVm *> &Vms) const;
-  void dropUnlinkedVms(std::vector<const EntryVm *> &Vms) const;
+  /// \brief A VM that a look-up may name.
+  struct LookupCandidate {
+    const EntryVm *m_Vm = nullptr;
+    Duration m_Age{}; ///< Since it was last heard from; zero for this VM.
+  };
+  void dropSmallVms(std::vector<LookupCandidate> &Vms) const;
+  void dropUnlinkedVms(std::vector<LookupCandidate> &Vms) const;
 
   struct Peer {
     EntryVm m_State;
--- a/tests/unit/fleet_members_test.cpp
+++ b/tests/unit/fleet_members_test.cpp
@@ -36,13 +36,13 @@
   Fleet Self(vm("a", "r"), {});
   (void)Self.receivedHeartbeat(vm("b", "r"), Start);
   (void)Self.receivedHeartbeat(vm("c", "r"), Start);
-  BOOST_TEST(Self.lookupAddresses(Caller, Start).size() == 3);
+  BOOST_TEST(Self.answerLookup(Caller, Start).m_Addresses.size() == 3);
   EntryVm Leaving = vm("c", "r");
   Leaving.m_Leaving = true;
   (void)Self.receivedHeartbeat(Leaving, Start + 1s);
   (void)Self.receivedHeartbeat(vm("b", "r"), Start + 1s);
-  BOOST_TEST(Self.lookupAddresses(Caller, Start + 1s).size() == 2);
-  BOOST_TEST(Self.lookupAddresses(Caller, Start + 10s).size() == 1);
+  BOOST_TEST(Self.answerLookup(Caller, Start + 1s).m_Addresses.size() == 2);
+  BOOST_TEST(Self.answerLookup(Caller, Start + 10s).m_Addresses.size() == 1);
 }
 
 BOOST_AUTO_TEST_CASE(OlderIncarnationDoesNotReplaceANewerOne) {
@@ -73,11 +73,11 @@
   Fleet Self(vm("a", "r", 0.1), {});
   for (const char *Name : {"b", "c"})
     (void)Self.receivedHeartbeat(vm(Name, "r", 0.5), Start);
-  BOOST_TEST(Self.lookupAddresses(Caller, Start).size() == 2);
+  BOOST_TEST(Self.answerLookup(Caller, Start).m_Addresses.size() == 2);
   EntryVm Busy = vm("b", "r", 0.5);
   Busy.m_TimerLag = 100ms;
   (void)Self.receivedHeartbeat(Busy, Start);
-  BOOST_TEST(Self.lookupAddresses(Caller, Start).size() == 3);
+  BOOST_TEST(Self.answerLookup(Caller, Start).m_Addresses.size() == 3);
 }
 
 BOOST_AUTO_TEST_CASE(TwoVmsOfARegionReadTheStoreAndAreReplacedOnFailure) {
--- a/tests/unit/upstream_links_test.cpp
+++ b/tests/unit/upstream_links_test.cpp
@@ -475,16 +475,16 @@
     Vm.m_Links = LinkState::Lost;
     (void)F.receivedHeartbeat(Vm, Start);
   };
-  BOOST_TEST(F.lookupAddresses(Caller, Start).size() == 4U);
+  BOOST_TEST(F.answerLookup(Caller, Start).m_Addresses.size() == 4U);
   F.m_Self.m_Links = LinkState::Lost;
-  BOOST_TEST(F.lookupAddresses(Caller, Start).size() == 3U);
+  BOOST_TEST(F.answerLookup(Caller, Start).m_Addresses.size() == 3U);
   Cut("b");
-  BOOST_TEST(F.lookupAddresses(Caller, Start).size() == 2U);
+  BOOST_TEST(F.answerLookup(Caller, Start).m_Addresses.size() == 2U);
   // Half of the region can't carry all of its callers.
   Cut("c");
-  BOOST_TEST(F.lookupAddresses(Caller, Start).size() == 4U);
+  BOOST_TEST(F.answerLookup(Caller, Start).m_Addresses.size() == 4U);
   Cut("d");
-  BOOST_TEST(F.lookupAddresses(Caller, Start).size() == 4U);
+  BOOST_TEST(F.answerLookup(Caller, Start).m_Addresses.size() == 4U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
