Gateway: regions are asked of the newest configuration, right before bytes leave

Callers saw: a request that waited for its turn, for a connection or for a retry while the home of its route or customer moved, ran in the former home.

Cause: a request keeps the configuration under which it arrived, regions included. Only its key was looked up in the newest one, and before the choice of an upstream, not after the connection was open. A peer that relays an attempt looked at no regions at all.

Change: Residency answers where a request may go, for the choice of an upstream, of a peer, and for the last check before bytes leave; Exchange asks it of the newest configuration. What is served how stays with the version under which the request arrived. The last check also covers keys, and upstreams that registered another address while the connection was opened. A peer asks its own newest configuration, by the customer's name. Refusals that aren't the upstream's fault don't exclude it; a caller without any region left gets 503 at once, nothing having been sent. The field of ChoiceInput has no default, so that no choice can forget it.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -146,10 +146,9 @@
   if (!identifyCustomer())
     co_return co_await refuse(ErrorKind::UnknownKey, Duration::zero(),
                               UnknownKey);
-  if (m_Customer && !haveCommonRegion(m_Route->m_AllowedRegions,
-                                      m_Customer->m_AllowedRegions))
+  if (std::string_view Reason = residencyRefusal(); !Reason.empty())
     co_return co_await refuse(ErrorKind::NoCapacity, NoRegionRetryAfter,
-                              NoRegion);
+                              Reason);
   Duration CallerTimeout =
       m_Metadata.m_CallerTimeout.value_or(m_Route->m_Timeout);
   m_Deadline = m_ArrivedAt + std::min(CallerTimeout, m_Route->m_Timeout);
@@ -234,6 +233,36 @@
     m_State.m_Quotas.giveBack(*Hash, steadyNow());
 }
 
+Residency Exchange::residency() const {
+  const RouteTablePtr &Newest = m_State.m_Routes;
+  if (!Newest || Newest == m_Routes)
+    return m_Route ? Residency(*m_Route, m_Customer) : Residency::anywhere();
+  const Route *Current = findRoute(*Newest, m_Request->m_Head);
+  // A peer names the customer and keeps the key to itself, unless it knows of
+  // no customers.
+  const Customer *Owner =
+      servesPeer() && m_Metadata.m_CustomerKey.empty()
+          ? Newest->m_Customers.find(CustomerName(m_Metadata.m_CustomerName))
+          : Newest->m_Customers.findByKey(m_Metadata.m_CustomerKey);
+  return Residency(Current ? *Current : *m_Route, Owner ? Owner : m_Customer);
+}
+
+std::string_view Exchange::residencyRefusal() const {
+  return residency().isSatisfiable() ? "" : NoRegion;
+}
+
+std::string_view Exchange::sendRefusal(const Upstream &Target,
+                                       const RegionName &PeerRegion) const {
+  if (isKeyRevoked())
+    return UnknownKey;
+  if (std::string_view Reason = residencyRefusal(); !Reason.empty())
+    return Reason;
+  Residency Bounds = residency();
+  bool MayGo = Bounds.allows(Target.m_Registration.m_Region) &&
+               (PeerRegion.empty() || Bounds.allows(PeerRegion));
+  return MayGo ? "" : "region-not-allowed";
+}
+
 bool Exchange::isKeyRevoked() const {
   const RouteTablePtr &Newest = m_State.m_Routes;
   if (!m_Customer || m_Route->m_IsPublic || Newest == m_Routes)
@@ -291,7 +320,7 @@
                         std::span<const Upstream *const> Excluded) const {
   ChoiceInput Input = choiceInput(
       m_State, m_State.m_LocalShares,
-      {*m_Routes, *m_Route, m_Customer, m_TargetService,
+      {*m_Routes, *m_Route, residency(), m_TargetService,
        requestKeyHash(m_Metadata.m_AffinityKey, m_Metadata.m_RequestId),
        m_ArrivedAt, placementKey()},
       steadyNow());
@@ -312,6 +341,8 @@
     CrashVerdict Verdict = co_await settledCrashVerdict();
     if (isKeyRevoked())
       co_return co_await giveUp(Last, Duration::zero(), UnknownKey);
+    if (std::string_view Reason = residencyRefusal(); !Reason.empty())
+      co_return co_await giveUp(Last, NoRegionRetryAfter, Reason);
     if (Verdict == CrashVerdict::Refuse)
       co_return co_await giveUp(Last, crashRetryAfter(), CrashesUpstreams);
     if (Verdict == CrashVerdict::Wait)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -43,7 +43,11 @@
   bool m_IsSigned = false; ///< The response is an upstream's.
   /// The upstream reported that it had no free slot.
   bool m_ShowsAllSlotsInUse = false;
-  VmName m_Peer; ///< That carried the attempt; empty: the own link.
+  VmName m_Peer;           ///< That carried the attempt; empty: the own link.
+  RegionName m_PeerRegion; ///< Of m_Peer.
+  /// Nothing was sent for a reason that isn't the upstream's; see
+  /// Exchange::sendRefusal().
+  bool m_IsOwnRefusal = false;
   /// The result is what the peer states, not the end of its connection.
   bool m_IsStated = false;
   /// The own link was left, as the links were lost meanwhile.
@@ -110,6 +114,18 @@
   /// \brief Returns what takeQuota() took, unless an upstream may have got a
   /// byte of the request.
   void returnUnusedQuota();
+  /// \brief Where the request may go now: the newest configuration decides, as
+  /// the regions may have changed since the request was accepted. Refers to
+  /// m_Routes and GatewayState::m_Routes.
+  [[nodiscard]] Residency residency() const;
+  /// \brief Why the request can't be sent anywhere at present, whatever the
+  /// state of the upstreams; empty if it can.
+  [[nodiscard]] std::string_view residencyRefusal() const;
+  /// \brief The last check before a request is sent to \p Target, over a
+  /// peer of \p PeerRegion, if that is set.
+  /// \returns Why it isn't to be sent; empty if it is.
+  [[nodiscard]] std::string_view
+  sendRefusal(const Upstream &Target, const RegionName &PeerRegion) const;
   /// \brief Whether the newest configuration still knows the caller's key. A
   /// request may have waited since it was accepted.
   [[nodiscard]] bool isKeyRevoked() const;
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -127,18 +127,25 @@
   // The load that a peer causes for this VM is counted by this VM only.
   if (!servesPeer())
     m_InFlightGuard.emplace(Target);
+  // The upstream may start again elsewhere while the connection is opened.
+  std::string Address = Target->m_Registration.m_Address;
   m_Connection = co_await connect(Target);
   if (m_Connection) {
     m_Outcome.m_Peer = m_Connection->m_Peer;
     // While the connection was opened, the upstream may have announced its end
-    // or asked for a pause.
+    // or asked for a pause, and the configuration may have changed.
+    std::string_view Refusal = sendRefusal(*Target, m_Outcome.m_PeerRegion);
+    m_Outcome.m_IsOwnRefusal = !Refusal.empty();
+    if (Refusal.empty() && Target->m_Registration.m_Address != Address)
+      Refusal = "moved";
     Exclusion Excluded = m_State.m_Upstreams.exclusion(*Target, steadyNow());
-    bool Withheld = cancelled() || Excluded != Exclusion::None ||
-                    (!servesPeer() && !claimSend(IsTrial));
-    if (Withheld) {
-      m_Outcome.m_Cause = Excluded == Exclusion::None
-                              ? std::string("withheld")
-                              : std::string(exclusionName(Excluded));
+    if (Refusal.empty() && Excluded != Exclusion::None)
+      Refusal = exclusionName(Excluded);
+    if (cancelled() ||
+        (Refusal.empty() && !servesPeer() && !claimSend(IsTrial)))
+      Refusal = "withheld";
+    if (!Refusal.empty()) {
+      m_Outcome.m_Cause = Refusal;
       returnUnusedConnection(*Target);
     } else {
       m_Outcome.m_Result = co_await sendRequest(Target)
--- a/src/gateway/exchange_outcome.cpp
+++ b/src/gateway/exchange_outcome.cpp
@@ -135,6 +135,8 @@
 }
 
 bool Exchange::blamesUpstream() const {
+  if (m_Outcome.m_IsOwnRefusal)
+    return false;
   if (!m_Outcome.isRelayed())
     return m_State.m_OwnLinks.state() == LinkState::Up;
   if (m_Outcome.m_IsStated)
--- a/src/gateway/exchange_relay.cpp
+++ b/src/gateway/exchange_relay.cpp
@@ -21,13 +21,14 @@
 
 awaitable<UpstreamConnectionPtr> Exchange::connectToPeer(UpstreamPtr Target) {
   const EntryVm *Peer = m_State.m_Fleet.selectRelay(
-      {Target->m_IdHash, Target->m_Registration.m_Region, m_Route, m_Customer},
+      {Target->m_IdHash, Target->m_Registration.m_Region, residency()},
       steadyNow());
   if (!Peer) {
     m_Outcome.m_Cause = "no-peer";
     co_return nullptr;
   }
   VmName Name = Peer->m_Vm;
+  m_Outcome.m_PeerRegion = Peer->m_Region;
   if (UpstreamConnectionPtr Kept =
           m_Pool.acquire(Name, steadyNow(), requestHash()))
     co_return Kept;
@@ -103,6 +104,9 @@
     bool InDoubt = m_State.m_OwnLinks.state() != LinkState::Up ||
                    m_State.m_OwnLinks.evidence().isInDoubt(steadyNow());
     std::string_view Cause = m_Outcome.m_Cause;
+    // The asker tries another peer.
+    if (Cause == AttemptCause::InDoubt)
+      co_return co_await sendRelayOutcome(RelayResult::NotSent, Cause);
     if (Cause != AttemptCause::Unreachable)
       Cause = AttemptCause::Excluded;
     else if (InDoubt)
--- a/src/gateway/explain.cpp
+++ b/src/gateway/explain.cpp
@@ -279,8 +279,7 @@
                      m_Customer->m_Priority.value_or(m_Route->m_Priority),
                      m_Customer->m_Priority ? "its own" : "the route's"),
               "regions: " + regionList(m_Customer->m_AllowedRegions)});
-  if (!haveCommonRegion(m_Route->m_AllowedRegions,
-                        m_Customer->m_AllowedRegions))
+  if (!Residency(*m_Route, m_Customer).isSatisfiable())
     refuse(ErrorKind::NoCapacity,
            "no-region, route and customer have no region in common");
 }
@@ -364,7 +363,7 @@
   RoutedRequest Request{
       *m_State.m_Routes,
       *m_Route,
-      m_Customer,
+      Residency(*m_Route, m_Customer),
       m_Service,
       requestKeyHash(m_Query.m_AffinityKey, ""),
       m_Now,
--- a/src/gateway/link_monitor.cpp
+++ b/src/gateway/link_monitor.cpp
@@ -174,7 +174,8 @@
       m_State.m_Settings.m_RelayAddress.empty()
           ? nullptr
           : m_State.m_Fleet.selectRelay(
-                {m_Round, m_State.m_Settings.m_Placement.m_Region},
+                {m_Round, m_State.m_Settings.m_Placement.m_Region,
+                 Residency::anywhere()},
                 steadyNow());
   if (!Peer)
     co_return;
--- a/src/gateway/relay_protocol.h
+++ b/src/gateway/relay_protocol.h
@@ -43,6 +43,8 @@
 constexpr std::string_view PeerUnreachable = "peer-unreachable";
 /// The upstream closed the connection.
 constexpr std::string_view Closed = "closed";
+/// The configuration that binds the request to regions may be outdated.
+constexpr std::string_view InDoubt = "configuration-in-doubt";
 } // namespace AttemptCause
 
 void addRelayFields(HeadWriter &Head, const RelayedAttempt &Attempt);
--- a/src/gateway/request_routing.cpp
+++ b/src/gateway/request_routing.cpp
@@ -26,7 +26,7 @@
                         const RoutedRequest &Request, TimePoint Now) {
   const ServiceName &Service = Request.m_Service;
   ChoiceInput Input{Request.m_Route, Request.m_Routes.findService(Service),
-                    Service, Request.m_Customer};
+                    Service, Request.m_Residency};
   Input.m_KeyHash = Request.m_KeyHash;
   Input.m_Now = Now;
   Input.m_TimeToTarget =
--- a/src/gateway/request_routing.h
+++ b/src/gateway/request_routing.h
@@ -12,9 +12,9 @@
 struct RoutedRequest {
   const RouteTable &m_Routes;
   const Route &m_Route;
-  const Customer *m_Customer = nullptr; ///< Null if callers need no key.
-  ServiceName m_Service;                ///< One of the route's targets.
-  std::uint64_t m_KeyHash = 0;          ///< See requestKeyHash().
+  Residency m_Residency;       ///< Where the request may go now.
+  ServiceName m_Service;       ///< One of the route's targets.
+  std::uint64_t m_KeyHash = 0; ///< See requestKeyHash().
   TimePoint m_ArrivedAt;
   PlacementKey m_PlacementKey = NoPlacementKey; ///< See requestPlacementKey().
 };
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -21,6 +21,8 @@
   std::string m_CallerCredential;
   /// The customer's key in it; empty if there is none, or if it is malformed.
   std::string m_CustomerKey;
+  /// The customer's name in the request of a peer; callers may write anything.
+  std::string m_CustomerName;
   /// Time that the caller waits for the response.
   std::optional<Duration> m_CallerTimeout;
 };
--- a/src/steer/choice.cpp
+++ b/src/steer/choice.cpp
@@ -162,7 +162,7 @@
     return Verdict::Excluded;
   if (wasTried(Target, Input.m_Tried))
     return Verdict::Tried;
-  if (!Input.allows(Target.m_Registration.m_Region))
+  if (!Input.m_Residency.allows(Target.m_Registration.m_Region))
     return Verdict::RegionNotAllowed;
   return Verdict::RateLimited;
 }
@@ -178,7 +178,7 @@
   Refusal.m_RefusalReason = RefusalReason::NoCandidate;
   Refusal.m_RetryAfter = 500ms;
   for (const UpstreamPtr &Entry : Table.upstreamsOf(Input.m_ServiceName)) {
-    if (!Input.allows(Entry->m_Registration.m_Region))
+    if (!Input.m_Residency.allows(Entry->m_Registration.m_Region))
       continue;
     Exclusion Reason = Table.exclusion(*Entry, Input.m_Now);
     if (Reason == Exclusion::Quiet)
@@ -216,7 +216,7 @@
   for (const UpstreamPtr &Entry : All) {
     if (Table.exclusion(*Entry, Input.m_Now) != Exclusion::None ||
         wasTried(*Entry, Input.m_Tried) ||
-        !Input.allows(Entry->m_Registration.m_Region) ||
+        !Input.m_Residency.allows(Entry->m_Registration.m_Region) ||
         !isWithinLimit(*Entry, Input)) {
       if (Input.m_Observer)
         note(Input, *Entry, whyNoCandidate(*Entry, Input, Table));
--- a/src/steer/choice.h
+++ b/src/steer/choice.h
@@ -2,6 +2,7 @@
 /// Selection of the upstream for one attempt of a request.
 #pragma once
 
+#include "steer/residency.h"
 #include "steer/upstream_table.h"
 
 #include <span>
@@ -90,8 +91,7 @@
   const Route &m_Route;
   const ServiceSettings *m_ServiceSettings = nullptr; ///< Null if unknown.
   ServiceName m_ServiceName;
-  /// Null if callers need no key.
-  const Customer *m_Customer = nullptr;
+  Residency m_Residency; ///< Regions whose upstreams may get the request.
   std::uint64_t m_KeyHash = 0;
   TimePoint m_Now;
   /// Time left until the target latency; negative once it has passed.
@@ -116,13 +116,6 @@
   PlacementKey m_PlacementKey = NoPlacementKey;
   ProcessingTimes m_ProcessingTimes;
   ChoiceObserver *m_Observer = nullptr; ///< Null on the request path.
-
-  /// \brief Whether upstreams of \p Region may get the request: the regions of
-  /// the route and of the customer both bind.
-  [[nodiscard]] bool allows(const RegionName &Region) const noexcept {
-    return m_Route.allows(Region) &&
-           (!m_Customer || m_Customer->allows(Region));
-  }
 };
 
 /// \brief Why no upstream was selected.
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -419,9 +419,7 @@
   std::tuple<bool, bool, bool, bool, double> BestOrder;
   for (const auto &[Name, Entry] : m_Peers) {
     const EntryVm &Vm = Entry.m_State;
-    if (!mayRelay(Entry, Now) ||
-        (Need.m_Route && !Need.m_Route->allows(Vm.m_Region)) ||
-        (Need.m_Customer && !Need.m_Customer->allows(Vm.m_Region)))
+    if (!mayRelay(Entry, Now) || !Need.m_Residency.allows(Vm.m_Region))
       continue;
     bool HasFailed = Now < Entry.m_NoRelayUntil;
     bool OnlyOpenConnections = Vm.m_Links != LinkState::Up;
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -36,9 +36,7 @@
 struct RelayNeed {
   std::uint64_t m_UpstreamHash = 0;
   RegionName m_UpstreamRegion;
-  /// These say which regions may see the request.
-  const Route *m_Route = nullptr;
-  const Customer *m_Customer = nullptr;
+  Residency m_Residency; ///< Of the request.
 };
 
 struct FleetTuning {
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -15,6 +15,7 @@
 #include "steer/local_share.h"
 #include "steer/rate_limit.h"
 #include "steer/read_delay.h"
+#include "steer/residency.h"
 #include "steer/retry_budget.h"
 #include "steer/route_table.h"
 #include "steer/row_cache.h"
--- a/tests/bench/decision_main.cpp
+++ b/tests/bench/decision_main.cpp
@@ -87,7 +87,8 @@
   /// there was one.
   bool decide(const Service &Target, std::uint64_t KeyHash) {
     ChoiceInput Input{m_Routes[Target.m_Name], &m_Settings[Target.m_Name],
-                      ServiceName(Target.m_Name)};
+                      ServiceName(Target.m_Name),
+                      Residency(m_Routes[Target.m_Name])};
     Input.m_KeyHash = KeyHash;
     Input.m_Now = Now;
     Input.m_TimeToTarget = Target.m_Target;
--- a/tests/support/link_fleet.cpp
+++ b/tests/support/link_fleet.cpp
@@ -201,7 +201,9 @@
   Vm &Each = *m_Vms[Current->m_Vm];
   UpstreamPtr Target = randomUpstream();
   const EntryVm *Peer = Each.m_Fleet.selectRelay(
-      {Target->m_IdHash, Target->m_Registration.m_Region}, m_Events.m_Now);
+      {Target->m_IdHash, Target->m_Registration.m_Region,
+       Residency::anywhere()},
+      m_Events.m_Now);
   if (!Peer)
     return finish(Current, false);
   ++m_Result.m_Relayed;
--- a/tests/support/load_model.cpp
+++ b/tests/support/load_model.cpp
@@ -338,7 +338,7 @@
   Vm.m_Shares.deriveMissing(Service, Vm.m_Upstreams, Vm.m_Placement,
                             m_Events.m_Now, ShareTuning);
   Vm.m_Shares.recordRequest(Service, ShareTuning);
-  ChoiceInput Input{m_Route, nullptr, Service};
+  ChoiceInput Input{m_Route, nullptr, Service, Residency(m_Route)};
   Input.m_KeyHash = stableHash(std::to_string(Current->m_Key));
   Input.m_Now = m_Events.m_Now;
   Input.m_TimeToTarget =
--- a/tests/support/two_regions.h
+++ b/tests/support/two_regions.h
@@ -49,7 +49,7 @@
   }
 
   [[nodiscard]] ChoiceInput input(int Key) const {
-    ChoiceInput Input{m_Route, &m_ServiceSettings, Stock};
+    ChoiceInput Input{m_Route, &m_ServiceSettings, Stock, Residency(m_Route)};
     Input.m_KeyHash = stableHash(std::to_string(Key));
     Input.m_Now = Start;
     Input.m_TimeToTarget = 400ms;
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -231,7 +231,7 @@
   }
 
   void attempt(const RequestPtr &Current) {
-    ChoiceInput Input{m_Route, nullptr, Stock};
+    ChoiceInput Input{m_Route, nullptr, Stock, Residency(m_Route)};
     Input.m_KeyHash = Current->m_Hash;
     Input.m_Now = m_Events.m_Now;
     Input.m_TimeToTarget =
--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -102,7 +102,7 @@
   }
 
   void request(Vm &From, int Key) {
-    ChoiceInput Input{m_Route, nullptr, Stock};
+    ChoiceInput Input{m_Route, nullptr, Stock, Residency(m_Route)};
     Input.m_KeyHash = stableHash(std::to_string(Key));
     Input.m_Now = m_Now;
     Input.m_TimeToTarget = 1s;
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -293,7 +293,7 @@
   };
   auto RequestsTo = [&R](const std::string &Id) {
     Route Path;
-    ChoiceInput Input{Path, nullptr, ServiceName("s")};
+    ChoiceInput Input{Path, nullptr, ServiceName("s"), Residency(Path)};
     Input.m_Now = steadyNow();
     Input.m_TimeToTarget = 1s;
     int Requests = 0;
--- a/tests/unit/upstream_links_test.cpp
+++ b/tests/unit/upstream_links_test.cpp
@@ -348,7 +348,8 @@
 }
 
 RelayNeed need(std::uint64_t Upstream, const std::string &Region = "east") {
-  return {stableHash(std::to_string(Upstream)), RegionName(Region)};
+  return {stableHash(std::to_string(Upstream)), RegionName(Region),
+          Residency::anywhere()};
 }
 
 } // namespace
@@ -420,7 +421,7 @@
   Route Homes;
   Homes.m_AllowedRegions = {RegionName("west")};
   RelayNeed Need = need(1, "west");
-  Need.m_Route = &Homes;
+  Need.m_Residency = Residency(Homes);
   BOOST_TEST(F.selectRelay(Need, Start) == nullptr);
   (void)F.receivedHeartbeat(vm("w", "west"), Start);
   BOOST_TEST(F.selectRelay(Need, Start)->m_Vm.str() == "w");
