Look-ups: a VM that has just started doesn't send callers to other regions

Callers saw: for the time to live of an answer, all their requests took 110 ms more, and those with homes went to a VM that is neither at home nor in their region.

Cause: fewer than two known VMs of the region were taken for a region without VMs. A VM that has just started has read the rows of its peers but heard from few of them.

Change: within 1.5 s of its start a VM answers with 503, so that callers ask the next VM, unless it knows two ready VMs of the region or has heard from half of the region. The single ready VM of a region is named alone if it isn't busy and has its links.

Evidence: LookupsRightAfterAStartNameNoOtherRegion has the former behaviour as its control.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,6 +96,7 @@
     m_State.m_Fleet.m_Self.m_Incarnation = std::uint64_t(
         duration_cast<milliseconds>(system_clock::now().time_since_epoch())
             .count());
+    m_State.m_Fleet.startListening(steadyNow());
   }
 
   int run();
@@ -162,7 +163,10 @@
   LookupAnswer Answer = Peers.answerLookup(CallerPlacement, steadyNow());
   m_Lookups.record(CallerPlacement, Answer, steadyNow() - m_State.m_StartedAt);
   if (Answer.m_Addresses.empty())
-    return completeResponse(503, "text/plain", "no entry VM is ready\n");
+    return completeResponse(503, "text/plain",
+                            Answer.m_IsTooEarly
+                                ? "this entry VM has just started\n"
+                                : "no entry VM is ready\n");
   return completeResponse(
       200, "application/json",
       m_State.m_WireFormat.m_MakeLookupBody(Answer.m_Addresses,
--- a/src/gateway/lookup_report.cpp
+++ b/src/gateway/lookup_report.cpp
@@ -21,6 +21,7 @@
             {"remote", std::to_string(Answer.m_RemoteCount)},
             {"ready", std::to_string(Answer.m_ReadyCount)},
             {"known", std::to_string(Answer.m_KnownCount)},
+            {"tooEarly", Answer.m_IsTooEarly ? "yes" : "no"},
             {"oldestMs", std::to_string(toMillis(Answer.m_OldestAge))},
             {"uptimeMs", std::to_string(toMillis(Uptime))}});
 }
--- a/src/gateway/lookup_report.h
+++ b/src/gateway/lookup_report.h
@@ -12,7 +12,7 @@
 /// \brief Explains which entry VMs look-ups were answered with.
 class LookupReport {
 public:
-  /// \param Uptime Of this process: how long it has heard from its peers.
+  /// \param Uptime Of this process: a young one has heard from few peers.
   void record(const Placement &Caller, const LookupAnswer &Answer,
               Duration Uptime);
   /// \brief Counters in the Prometheus text exposition format.
--- a/src/steer/fleet.cpp
+++ b/src/steer/fleet.cpp
@@ -459,6 +459,20 @@
   });
 }
 
+bool Fleet::knowsRegion(const RegionName &Region, TimePoint Now) const {
+  if (Now - m_ListensSince >= m_Tuning.m_ListeningTime)
+    return true;
+  double Known = 0;
+  double Heard = 0;
+  for (const auto &[Vm, Entry] : m_Peers) {
+    if (Entry.m_State.m_Region != Region)
+      continue;
+    Known += 1;
+    Heard += Entry.m_LastHeardAt && *Entry.m_LastHeardAt >= m_ListensSince;
+  }
+  return m_IsComplete && Heard >= Known * m_Tuning.m_MinHeardFraction;
+}
+
 LookupAnswer Fleet::answerLookup(const Placement &Caller, TimePoint Now) const {
   LookupAnswer Answer;
   std::vector<LookupCandidate> Local;
@@ -478,8 +492,17 @@
       Add(Entry.m_State, Now - *Entry.m_LastHeardAt);
   }
   Answer.m_ReadyCount = Local.size();
+  if (Local.size() < m_Tuning.m_MinLookupAddresses &&
+      !knowsRegion(Caller.m_Region, Now)) {
+    Answer.m_IsTooEarly = true;
+    return Answer;
+  }
   dropUnlinkedVms(Local);
   dropSmallVms(Local);
+  bool IsOneEnough =
+      Local.size() == 1 &&
+      Local.front().m_Vm->m_TimerLag <= m_Tuning.m_BusyTimerLag &&
+      Local.front().m_Vm->m_Links != LinkState::Lost;
   auto Name = [&](const LookupCandidate &Each) {
     Answer.m_Addresses.push_back(Each.m_Vm->m_CallerAddress);
     Answer.m_OldestAge = std::max(Answer.m_OldestAge, Each.m_Age);
@@ -487,7 +510,8 @@
   Local.resize(std::min(Local.size(), m_Tuning.m_MaxLookupAddresses));
   std::ranges::for_each(Local, Name);
   for (const LookupCandidate &Each : Remote) {
-    if (Answer.m_Addresses.size() >= m_Tuning.m_MinLookupAddresses)
+    if (IsOneEnough ||
+        Answer.m_Addresses.size() >= m_Tuning.m_MinLookupAddresses)
       break;
     Name(Each);
     ++Answer.m_RemoteCount;
--- a/src/steer/fleet.h
+++ b/src/steer/fleet.h
@@ -63,8 +63,16 @@
   Duration m_TakeoverGroupDelay = 500ms;
   Duration m_MaxTakeoverDelay = 2s;
   std::size_t m_MaxLookupAddresses = 12;
-  /// VMs of other regions are added up to this number.
+  /// VMs of other regions are added up to this number, unless the single VM of
+  /// the caller's region has time and links.
   std::size_t m_MinLookupAddresses = 2;
+  /// Until then, a VM answers look-ups only for regions that it knows. In plays
+  /// with 77 VMs, those that named other regions had started less than 1 s
+  /// before.
+  Duration m_ListeningTime = 1500ms;
+  /// It knows a region before, once it has heard from this fraction of the
+  /// region's VMs.
+  double m_MinHeardFraction = 0.5;
   /// VMs below this fraction of the capacity of the region's largest VM are
   /// returned only when the larger ones are busy: with fewer VMs, each reuses
   /// more connections and knows more about each upstream.
@@ -136,6 +144,9 @@
   std::size_t m_ReadyCount = 0;
   /// All VMs of the caller's region of which this VM has a row or heard.
   std::size_t m_KnownCount = 0;
+  /// Too little is known of the caller's region yet, so that only another VM
+  /// can answer; no VM is named.
+  bool m_IsTooEarly = false;
   /// When the named VM that was silent longest was last heard from; zero if
   /// only this VM is named.
   Duration m_OldestAge{};
@@ -216,6 +227,9 @@
   [[nodiscard]] unsigned knownCount() const noexcept {
     return unsigned(m_Peers.size()) + 1;
   }
+  /// \brief Notes that this VM has only just begun to hear from its peers: the
+  /// process has started, or stood still.
+  void startListening(TimePoint Now) noexcept { m_ListensSince = Now; }
   /// \brief Records that the rows of all VMs have been read, here or by a peer
   /// that relayed them.
   void setComplete() noexcept { m_IsComplete = true; }
@@ -285,11 +299,16 @@
   /// \brief Whether a peer that is heard from doubts its links.
   [[nodiscard]] bool anyPeerDoubtsLinks(TimePoint Now) const;
 
-  /// \brief The VMs for a caller at \p Caller.
+  /// \brief The VMs for a caller at \p Caller: those of its region. VMs of
+  /// other regions are named only if this region is known to have none that
+  /// are ready, or a single one that is busy or has lost its links.
   [[nodiscard]] LookupAnswer answerLookup(const Placement &Caller,
                                           TimePoint Now) const;
 
 private:
+  /// \brief Whether VMs of \p Region that haven't been heard from may be taken
+  /// for dead.
+  [[nodiscard]] bool knowsRegion(const RegionName &Region, TimePoint Now) const;
   /// \brief A VM that a look-up may name.
   struct LookupCandidate {
     const EntryVm *m_Vm = nullptr;
@@ -334,6 +353,7 @@
   FleetTuning m_Tuning;
   std::map<VmName, Peer> m_Peers; ///< Never contains this VM.
   bool m_IsComplete = false;      ///< See setComplete(); never reset.
+  TimePoint m_ListensSince{};     ///< See startListening().
   /// Points into m_Peers, whose nodes don't move; by PeerAge::m_VmHash.
   std::map<std::uint32_t, Peer *> m_ByHash;
   /// By PeerAge::m_VmHash; never contains this VM. Knowledge of a reader needs
--- a/tests/unit/fleet_members_test.cpp
+++ b/tests/unit/fleet_members_test.cpp
@@ -45,6 +45,62 @@
   BOOST_TEST(Self.answerLookup(Caller, Start + 10s).m_Addresses.size() == 1);
 }
 
+// Guards against callers that are sent to another region, and stay there for
+// the time to live of the answer, since the VM that they asked had just started
+// and hadn't heard from its own region.
+BOOST_AUTO_TEST_CASE(LookupsRightAfterAStartNameNoOtherRegion) {
+  for (bool HasJustStarted : {true, false}) {
+    Fleet Self(vm("a", "r"), {});
+    if (HasJustStarted)
+      Self.startListening(Start);
+    for (const char *Name : {"b", "c", "d", "e"})
+      Self.addPeer(vm(Name, "r"));
+    Self.setComplete();
+    (void)Self.receivedHeartbeat(vm("x", "q"), Start + 10ms);
+    (void)Self.receivedHeartbeat(vm("b", "r"), Start + 20ms);
+    Self.m_Self.m_Ready = false;
+    LookupAnswer Early = Self.answerLookup(Caller, Start + 30ms);
+    BOOST_TEST(Early.m_IsTooEarly == HasJustStarted);
+    BOOST_TEST(Early.m_Addresses.empty() == HasJustStarted);
+    BOOST_TEST(Early.m_RemoteCount == 0U);
+    // Half of the region has been heard from; one of these VMs is ready.
+    EntryVm Starting = vm("c", "r");
+    Starting.m_Ready = false;
+    (void)Self.receivedHeartbeat(Starting, Start + 200ms);
+    LookupAnswer Later = Self.answerLookup(Caller, Start + 200ms);
+    BOOST_TEST(Later.m_RemoteCount == 0U);
+    BOOST_TEST(Later.m_Addresses.size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LookupsNameOtherRegionsForOneWithoutReadyVms) {
+  Fleet Self(vm("a", "q"), {});
+  Self.startListening(Start);
+  Self.setComplete();
+  for (const char *Name : {"b", "c"})
+    Self.addPeer(vm(Name, "r"));
+  (void)Self.receivedHeartbeat(vm("x", "q"), Start + 1400ms);
+  BOOST_TEST(Self.answerLookup(Caller, Start + 1400ms).m_IsTooEarly);
+  LookupAnswer Answer = Self.answerLookup(Caller, Start + 1500ms);
+  BOOST_TEST(Answer.m_Addresses.size() == 2U);
+  BOOST_TEST(Answer.m_RemoteCount == 2U);
+  BOOST_TEST(Answer.m_KnownCount == 2U);
+}
+
+// During a planned restart of a small region, the VM that is left serves its
+// callers alone unless it is busy or cut off.
+BOOST_AUTO_TEST_CASE(LookupsNameAnotherRegionBesideASingleBusyVmOnly) {
+  for (bool IsBusy : {true, false})
+    for (bool HasLinks : {true, false}) {
+      Fleet Self(vm("a", "r"), {});
+      Self.m_Self.m_TimerLag = IsBusy ? 100ms : 0ms;
+      Self.m_Self.m_Links = HasLinks ? LinkState::Up : LinkState::Lost;
+      (void)Self.receivedHeartbeat(vm("x", "q"), Start);
+      BOOST_TEST(Self.answerLookup(Caller, Start).m_RemoteCount ==
+                 (IsBusy || !HasLinks ? 1U : 0U));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(OlderIncarnationDoesNotReplaceANewerOne) {
   Fleet Self(vm("a", "r"), {});
   EntryVm New = vm("b", "r");
