Gateway: the first store reader of a region takes rows from its peers, too

Callers saw: requests ran in the former home of their route for seconds after all other VMs had the new configuration.

Cause: the reader with the highest rank was believed to know best and took no rows from peers, whatever they reported. If its calls of the store die without notice, it found a change by the time-out of a full read only.

Change: readers take rows once they are behind for 0.5 s, whatever their rank. A VM that is known to be behind for so long takes a newer configuration from a peer of any region. Behind for over a second, it refuses requests that the held configuration binds to regions, as not run, and doesn't report its version.

Evidence: FirstReaderOfASilentStoreTakesRowsFromPeers fails with the former condition.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -51,6 +51,10 @@
 /// Reason of refusals of requests that end their upstreams.
 constexpr std::string_view CrashesUpstreams = "crashes-upstreams";
 
+Duration residencyRetryAfter(std::string_view Reason) {
+  return Reason == NoRegion ? NoRegionRetryAfter : MissingConfigRetryAfter;
+}
+
 } // namespace
 
 Exchange::Exchange(GatewayState &State, UpstreamPool &Pool,
@@ -147,8 +151,8 @@
     co_return co_await refuse(ErrorKind::UnknownKey, Duration::zero(),
                               UnknownKey);
   if (std::string_view Reason = residencyRefusal(); !Reason.empty())
-    co_return co_await refuse(ErrorKind::NoCapacity, NoRegionRetryAfter,
-                              Reason);
+    co_return co_await refuse(ErrorKind::NoCapacity,
+                              residencyRetryAfter(Reason), Reason);
   Duration CallerTimeout =
       m_Metadata.m_CallerTimeout.value_or(m_Route->m_Timeout);
   m_Deadline = m_ArrivedAt + std::min(CallerTimeout, m_Route->m_Timeout);
@@ -248,7 +252,12 @@
 }
 
 std::string_view Exchange::residencyRefusal() const {
-  return residency().isSatisfiable() ? "" : NoRegion;
+  Residency Bounds = residency();
+  if (!Bounds.isSatisfiable())
+    return NoRegion;
+  bool InDoubt =
+      m_State.m_Freshness.isInDoubt(m_State.routesVersion(), steadyNow());
+  return InDoubt && Bounds.isRestricted() ? AttemptCause::InDoubt : "";
 }
 
 std::string_view Exchange::sendRefusal(const Upstream &Target,
@@ -342,7 +351,7 @@
     if (isKeyRevoked())
       co_return co_await giveUp(Last, Duration::zero(), UnknownKey);
     if (std::string_view Reason = residencyRefusal(); !Reason.empty())
-      co_return co_await giveUp(Last, NoRegionRetryAfter, Reason);
+      co_return co_await giveUp(Last, residencyRetryAfter(Reason), Reason);
     if (Verdict == CrashVerdict::Refuse)
       co_return co_await giveUp(Last, crashRetryAfter(), CrashesUpstreams);
     if (Verdict == CrashVerdict::Wait)
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -97,7 +97,10 @@
   Result.m_Sender.m_ContactAge = m_State.m_OwnLinks.contactAge();
   if (Region == m_State.m_Settings.m_Placement.m_Region)
     Result.m_ReaderAges = m_State.m_Fleet.readerAgesToSend(steadyNow());
-  Result.m_ConfigVersion = m_State.m_Routes ? m_State.m_Routes->m_Version : 0;
+  // A version that is known to be old is no news to anybody.
+  bool InDoubt =
+      m_State.m_Freshness.isInDoubt(m_State.routesVersion(), steadyNow());
+  Result.m_ConfigVersion = InDoubt ? 0 : m_State.routesVersion();
   Result.m_SyncedVersions = m_Replica.syncedVersions();
   Result.m_AnnouncedRuns = m_State.m_Upstreams.recentAnnouncements(steadyNow());
   Result.m_RemovedRuns = m_State.m_Upstreams.recentRemovals(steadyNow());
@@ -336,16 +339,14 @@
 }
 
 void PeerService::noteReportedRoutes(const Heartbeat &Heartbeat) {
-  std::uint64_t Own = m_State.m_Routes ? m_State.m_Routes->m_Version : 0;
-  if (Heartbeat.m_ConfigVersion <=
-      std::max(Own, m_State.m_ReportedRoutes.m_Version))
-    return;
-  m_State.m_ReportedRoutes = {Heartbeat.m_ConfigVersion, steadyNow()};
-  logEvent(LogLevel::Info, "configuration-behind",
-           {{"version", std::to_string(Own)},
-            {"newest", std::to_string(Heartbeat.m_ConfigVersion)},
-            {"peer", Heartbeat.m_Sender.m_Vm.str()},
-            {"peerRegion", Heartbeat.m_Sender.m_Region.str()}});
+  std::uint64_t Own = m_State.routesVersion();
+  if (m_State.m_Freshness.recordReport(Heartbeat.m_ConfigVersion, Own,
+                                       steadyNow()))
+    logEvent(LogLevel::Info, "configuration-behind",
+             {{"version", std::to_string(Own)},
+              {"newest", std::to_string(Heartbeat.m_ConfigVersion)},
+              {"peer", Heartbeat.m_Sender.m_Vm.str()},
+              {"peerRegion", Heartbeat.m_Sender.m_Region.str()}});
 }
 
 bool PeerService::mayFetch(const std::string &Address, TimePoint Now) const {
@@ -360,9 +361,7 @@
 
 void PeerService::fetchRowsIfBehind(const Heartbeat &Heartbeat) {
   TimePoint Now = steadyNow();
-  // The full reads of a region's first reader find what feeds have missed.
-  if (m_Replica.isFirstReader() ||
-      !mayFetch(Heartbeat.m_Sender.m_PeerAddress, Now))
+  if (!mayFetch(Heartbeat.m_Sender.m_PeerAddress, Now))
     return;
   std::vector<std::uint64_t> OwnVersions = m_Replica.syncedVersions();
   // In a large fleet only a few VMs get heartbeats from a store reader itself;
@@ -371,13 +370,17 @@
       Heartbeat.m_Sender.m_Region == m_State.m_Settings.m_Placement.m_Region &&
       (!m_State.m_Fleet.isSmall() ||
        m_State.m_Fleet.isStoreReader(Heartbeat.m_Sender.m_Vm, Now));
-  // A VM that can't read the store accepts a newer configuration from any peer.
-  bool NewRoutes = Heartbeat.m_ConfigVersion >
-                   (m_State.m_Routes ? m_State.m_Routes->m_Version : 0);
+  // A VM that can't read the store, or whose reads are old, takes the rows of
+  // any peer with a newer configuration.
+  std::uint64_t OwnRoutes = m_State.routesVersion();
+  Duration Lag =
+      m_State.m_Freshness.lag(OwnRoutes, Now).value_or(Duration::zero());
+  bool MayWait = m_Replica.storeReachable() && Lag < RowLag::ReaderDelay;
+  bool WantsRoutes = Heartbeat.m_ConfigVersion > OwnRoutes && !MayWait;
   bool IsBehind = SenderRelays &&
                   m_RowLag.mustFetch(OwnVersions, Heartbeat.m_SyncedVersions,
                                      m_Replica.readsStore(), Now);
-  if (!IsBehind && !(NewRoutes && !m_Replica.storeReachable()))
+  if (!IsBehind && !WantsRoutes)
     return;
   m_FetchingFrom.insert(Heartbeat.m_Sender.m_PeerAddress);
   m_LastFetchAt = Now;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -50,12 +50,6 @@
   std::function<void()> m_OnStop;
 };
 
-/// \brief The newest configuration version that any peer has reported.
-struct ReportedRoutes {
-  std::uint64_t m_Version = 0; ///< 0: none.
-  TimePoint m_ReportedAt{};    ///< First report of this version.
-};
-
 /// \brief Shared state and counters of one gateway process.
 struct GatewayState {
   GatewayState(asio::io_context &Loop, GatewaySettings Settings,
@@ -75,8 +69,8 @@
 
   RouteTablePtr m_Routes; ///< Null until the first configuration is adopted.
   TimePoint m_RoutesAdoptedAt{}; ///< When m_Routes was set.
-  ReportedRoutes m_ReportedRoutes;
-  TimePoint m_StoreReachedAt{}; ///< Last answer of the store to this VM.
+  ConfigFreshness m_Freshness;   ///< Of m_Routes.
+  TimePoint m_StoreReachedAt{};  ///< Last answer of the store to this VM.
   UpstreamTable m_Upstreams;
   OwnLinks m_OwnLinks;
   Fleet m_Fleet;
@@ -129,6 +123,10 @@
       Age = std::min(Age.value_or(Duration::max()), Now - m_StoreReachedAt);
     return Age;
   }
+  /// \brief Version of m_Routes; 0 without one.
+  [[nodiscard]] std::uint64_t routesVersion() const noexcept {
+    return m_Routes ? m_Routes->m_Version : 0;
+  }
   /// \brief Begins a shutdown, at whose end requests are ended.
   void beginStop(TimePoint StopsAt) noexcept {
     m_Leaving = true;
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -49,11 +49,6 @@
                           std::span<const UpstreamRunKey> Removed,
                           const VmName &Peer);
 
-  /// \brief This VM is the one of its region whose full reads find what a feed
-  /// has missed.
-  [[nodiscard]] bool isFirstReader() const {
-    return readsStore() && currentRole() == ReaderRole::First;
-  }
   /// \brief This VM follows the store itself, and the last call succeeded.
   [[nodiscard]] bool readsStore() const noexcept {
     return m_ReadsStore && m_StoreReachable;
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -97,25 +97,22 @@
   if (m_State.m_Routes &&
       m_State.m_Routes->m_Version >= Decoded.m_Routes->m_Version)
     return;
+  TimePoint Now = steadyNow();
+  std::optional<Duration> Lag =
+      m_State.m_Freshness.lag(m_State.routesVersion(), Now);
   m_State.m_Routes = Decoded.m_Routes;
-  m_State.m_RoutesAdoptedAt = steadyNow();
+  m_State.m_RoutesAdoptedAt = Now;
   m_State.m_Quotas.setQuotas(Decoded.m_Routes->m_Customers, steadyNow());
   for (const std::string &Warning : Decoded.m_Warnings)
     logEvent(LogLevel::Warning, "configuration-warning",
              {{"row", formatPosition(Row.m_Version)}, {"cause", Warning}});
-  // Since when a peer is known to have had it.
-  const ReportedRoutes &Reported = m_State.m_ReportedRoutes;
-  std::optional<Duration> BehindFor;
-  if (Reported.m_Version >= Decoded.m_Routes->m_Version)
-    BehindFor = m_State.m_RoutesAdoptedAt - Reported.m_ReportedAt;
-  logEvent(
-      LogLevel::Info, "configuration-adopted",
-      {{"version", std::to_string(Decoded.m_Routes->m_Version)},
-       {"routes", std::to_string(Decoded.m_Routes->size())},
-       {"customers", std::to_string(Decoded.m_Routes->m_Customers.size())},
-       {"row", formatPosition(Row.m_Version)},
-       {"source", m_BatchSource},
-       {"behindMs", BehindFor ? std::to_string(toMillis(*BehindFor)) : ""}});
+  logEvent(LogLevel::Info, "configuration-adopted",
+           {{"version", std::to_string(Decoded.m_Routes->m_Version)},
+            {"routes", std::to_string(Decoded.m_Routes->size())},
+            {"customers", std::to_string(Decoded.m_Routes->m_Customers.size())},
+            {"row", formatPosition(Row.m_Version)},
+            {"source", m_BatchSource},
+            {"behindMs", Lag ? std::to_string(toMillis(*Lag)) : ""}});
 }
 
 void StoreReplica::applyEvacuations() {
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -7,6 +7,7 @@
 #include "steer/admission.h"
 #include "steer/buffer_budget.h"
 #include "steer/choice.h"
+#include "steer/config_freshness.h"
 #include "steer/crash_suspects.h"
 #include "steer/customer_quota.h"
 #include "steer/customer_table.h"
--- a/tests/unit/peer_rows_test.cpp
+++ b/tests/unit/peer_rows_test.cpp
@@ -27,6 +27,36 @@
   awaitable<StoreResult> write(StoreWrite) override { co_return StoreResult(); }
 };
 
+/// \brief Answers the first read of each table, and no later call.
+class HangingStore final : public RowStore {
+public:
+  explicit HangingStore(asio::io_context &Io) : m_Io(Io) {}
+  awaitable<StoreResult> read(std::string Table) override {
+    StoreResult Result;
+    if (m_HasRead.insert(Table).second) {
+      Result.m_CallStatus = StoreCallStatus::Done;
+      Result.m_Version = 1;
+      co_return Result;
+    }
+    co_return co_await hang();
+  }
+  awaitable<StoreResult> changes(std::string, std::uint64_t,
+                                 Duration) override {
+    return hang();
+  }
+  void endChangesCall(const std::string &) override {}
+  awaitable<StoreResult> write(StoreWrite) override { return hang(); }
+
+private:
+  awaitable<StoreResult> hang() {
+    co_await sleepFor(m_Io, 20s);
+    co_return StoreResult();
+  }
+
+  asio::io_context &m_Io;
+  std::set<std::string> m_HasRead;
+};
+
 OperatorRow decodeOperator(const StoreRow &) { return {}; }
 UpstreamRow decodeUpstream(const StoreRow &Row,
                            const std::map<FailureDomainName, RegionName> &) {
@@ -148,6 +178,32 @@
   BOOST_TEST((steadyNow() - Begin < 1200ms));
 }
 
+// Guards against a reader that goes on under an old configuration, and sends
+// requests where it allowed them, until its call of a silent store times out:
+// the highest-ranked reader of a region took no rows from its peers.
+BOOST_AUTO_TEST_CASE(FirstReaderOfASilentStoreTakesRowsFromPeers) {
+  asio::io_context Io;
+  WireFormat Format{};
+  HangingStore Store(Io);
+  GatewayState State(Io, settings(), Format,
+                     {decodeOperator, decodeUpstream, {"op", "up", "vm"}});
+  UpstreamPool Pool(Io);
+  StoreReplica Replica(State, Pool, Store);
+  PeerService Service(State, Replica);
+  BOOST_REQUIRE(!Service.start(AddressBinder(0s)));
+  Replica.start();
+  Io.run_for(std::chrono::milliseconds(100));
+  BOOST_TEST(Replica.readsStore());
+  Peer Sound(Io, "127.0.9.6", true);
+  TimePoint Begin = steadyNow();
+  while (!State.m_Upstreams.find("u") && steadyNow() - Begin < 3s) {
+    Sound.sendHeartbeat();
+    Io.run_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST((steadyNow() - Begin < 1200ms));
+  BOOST_TEST(State.m_Fleet.isFirstReader(steadyNow()));
+}
+
 // Guards against a part of the rows that passes for all of them.
 BOOST_AUTO_TEST_CASE(RowsBeforeAResetAreNotApplied) {
   asio::io_context Io;
--- a/tests/unit/residency_test.cpp
+++ b/tests/unit/residency_test.cpp
@@ -198,3 +198,47 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Freshness)
+
+constexpr TimePoint Start{1h};
+
+// Guards against a VM that goes on under a configuration that its peers have
+// replaced long ago. Versions that follow each other don't set the time back.
+BOOST_AUTO_TEST_CASE(LagBehindPeersIsInDoubtAfterASecond) {
+  ConfigFreshness Known;
+  BOOST_TEST(Known.recordReport(4, 3, Start));
+  BOOST_TEST(!Known.recordReport(4, 3, Start + 100ms));
+  BOOST_TEST(!Known.isInDoubt(3, Start + 1s));
+  BOOST_TEST(Known.recordReport(5, 3, Start + 900ms));
+  BOOST_TEST(Known.isInDoubt(3, Start + 1001ms));
+  BOOST_TEST(!Known.isInDoubt(5, Start + 1001ms));
+  BOOST_TEST(!Known.lag(5, Start + 1001ms).has_value());
+}
+
+// A VM that adopts each version of a series half a second late isn't in doubt.
+BOOST_AUTO_TEST_CASE(VmThatFollowsASeriesOfVersionsIsNotInDoubt) {
+  ConfigFreshness Known;
+  for (unsigned I = 0; I < 10; ++I) {
+    TimePoint Now = Start + I * 400ms;
+    (void)Known.recordReport(4 + I, 2 + I, Now);
+    BOOST_TEST(!Known.isInDoubt(2 + I, Now));
+    (void)Known.recordReport(4 + I, 3 + I, Now + 300ms);
+  }
+}
+
+// While peers have had a newer version for over a second, requests that the
+// held one binds to a region are refused.
+BOOST_AUTO_TEST_CASE(HomesThatPeersHaveReplacedAreARefusal) {
+  TwoHomes Homes;
+  Homes.upstream("e", East, nullptr, false);
+  GatewayState &State = Homes.m_Rig.m_State;
+  (void)State.m_Freshness.recordReport(
+      State.routesVersion() + 1, State.routesVersion(), steadyNow() - 1100ms);
+  BOOST_TEST(Homes.m_Rig.ask(safeRequest("1")).m_Head.m_Status == 503U);
+  BOOST_TEST(Homes.m_Arrived.empty());
+  Homes.bind(East);
+  BOOST_TEST(Homes.m_Rig.ask(safeRequest("2")).m_Head.m_Status == 200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
