Gateway: a new configuration is reported to peers without delay

Callers saw: requests under the former configuration for up to 1.6 s after the first VM had the new one.

Cause: it spreads by heartbeats and fetches of rows; each hop waited for the regular heartbeats of a large fleet, every 250 ms to a few peers.

Change: the adoption of a configuration is news, as a lost link is.

Evidence: NewConfigurationIsReportedWithoutDelay fails without it.

--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -42,8 +42,8 @@
   awaitable<void> receiveLoop();
   /// \brief Sends the heartbeats of one round. \returns The recipients.
   std::vector<Fleet::Recipient> sendHeartbeats();
-  /// \brief Sends heartbeats before the next round is due, for news of requests
-  /// that end upstreams.
+  /// \brief Sends heartbeats before the next round is due; see
+  /// GatewayState::m_OnNews.
   void sendNewsSoon();
   awaitable<void> sendNews();
   awaitable<void> heartbeatLoop();
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -90,8 +90,8 @@
   /// Called with each suspected request that an upstream has answered to this
   /// VM.
   std::function<void(RequestFingerprint)> m_OnCrashCleared;
-  /// Called when peers should soon hear of requests that end upstreams, or of a
-  /// change of this VM's links.
+  /// Called when peers should soon hear of requests that end upstreams, of a
+  /// change of this VM's links, or of a new configuration.
   std::function<void()> m_OnNews;
   /// Running mean of the response size of each route in bytes, by route name.
   std::map<std::string, double> m_MeanResponseBytes;
--- a/src/gateway/store_replica_rows.cpp
+++ b/src/gateway/store_replica_rows.cpp
@@ -113,6 +113,9 @@
             {"row", formatPosition(Row.m_Version)},
             {"source", m_BatchSource},
             {"behindMs", Lag ? std::to_string(toMillis(*Lag)) : ""}});
+  // Peers would learn of it with one of the next regular heartbeats.
+  if (m_State.m_OnNews)
+    m_State.m_OnNews();
 }
 
 void StoreReplica::applyEvacuations() {
--- a/tests/unit/peer_rows_test.cpp
+++ b/tests/unit/peer_rows_test.cpp
@@ -58,6 +58,15 @@
 };
 
 OperatorRow decodeOperator(const StoreRow &) { return {}; }
+/// \brief A configuration whose version is the row's.
+OperatorRow decodeRoutes(const StoreRow &Row) {
+  auto Routes = std::make_shared<RouteTable>();
+  Routes->m_Version = Row.m_Version;
+  OperatorRow Result;
+  Result.m_Kind = OperatorRow::Kind::Routes;
+  Result.m_Routes = Routes;
+  return Result;
+}
 UpstreamRow decodeUpstream(const StoreRow &Row,
                            const std::map<FailureDomainName, RegionName> &) {
   UpstreamRow Result;
@@ -204,6 +213,33 @@
   BOOST_TEST(State.m_Fleet.isFirstReader(steadyNow()));
 }
 
+// Guards against VMs that use an old configuration for a second longer than the
+// reader that told them of the new one: it waited for its next heartbeats.
+BOOST_AUTO_TEST_CASE(NewConfigurationIsReportedWithoutDelay) {
+  asio::io_context Io;
+  WireFormat Format{};
+  DeadStore Store;
+  GatewayState State(Io, settings(), Format,
+                     {decodeRoutes, decodeUpstream, {"op", "up", "vm"}});
+  UpstreamPool Pool(Io);
+  StoreReplica Replica(State, Pool, Store);
+  unsigned Reports = 0;
+  State.m_OnNews = [&Reports] { ++Reports; };
+  auto Apply = [&Replica](std::uint64_t Version) {
+    RelayedRows Rows;
+    Rows.m_Rows = {{{"op", "config", "", Version, false}, false}};
+    Rows.m_SyncedVersions = {Version, Version, Version};
+    Replica.applyRelayedRows(Rows);
+  };
+  Apply(5);
+  BOOST_TEST(State.routesVersion() == 5U);
+  BOOST_TEST(Reports == 1U);
+  Apply(5);
+  BOOST_TEST(Reports == 1U);
+  Apply(6);
+  BOOST_TEST(Reports == 2U);
+}
+
 // Guards against a part of the rows that passes for all of them.
 BOOST_AUTO_TEST_CASE(RowsBeforeAResetAreNotApplied) {
   asio::io_context Io;
