Gateway: a process that stood still confirms its configuration before it sends

Cause: what has arrived during a pause is handled before anything shows that the process stood still; a suspension was noticed up to 0.5 s later, a stopped process never, and a VM that doesn't read the store then waited for a peer's heartbeat.

Change: a pause of 2 s or more is noticed before a request is routed or sent, a look-up is answered or a heartbeat is handled. The operators' rows are then read at once, whatever the VM's role; requests wait for up to 0.5 s, after which those that the held configuration binds to regions are refused as not run until the store, or a later heartbeat of the same version, confirms it. A VM that isn't sure reports no version. Look-ups are as after a start.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -139,6 +139,7 @@
                               "buffers-full");
   }
   co_await waitForFirstRead();
+  co_await waitForConfirmation();
   m_Routes = m_State.m_Routes;
   if (!m_Routes)
     co_return co_await refuse(ErrorKind::NoBundle, MissingConfigRetryAfter,
@@ -251,6 +252,12 @@
   return Residency(Current ? *Current : *m_Route, Owner ? Owner : m_Customer);
 }
 
+awaitable<void> Exchange::waitForConfirmation() {
+  m_State.noticePause();
+  while (m_State.m_Freshness.isAwaited(steadyNow()) && !cancelled())
+    co_await sleepFor(m_State.m_Io, FirstReadPollInterval);
+}
+
 std::string_view Exchange::residencyRefusal() const {
   Residency Bounds = residency();
   if (!Bounds.isSatisfiable())
@@ -262,6 +269,9 @@
 
 std::string_view Exchange::sendRefusal(const Upstream &Target,
                                        const RegionName &PeerRegion) const {
+  m_State.noticePause();
+  if (m_State.m_Freshness.isAwaited(steadyNow()))
+    return AttemptCause::InDoubt;
   if (isKeyRevoked())
     return UnknownKey;
   if (std::string_view Reason = residencyRefusal(); !Reason.empty())
@@ -348,6 +358,7 @@
       co_return co_await giveUp(
           Last, errorInfo(ErrorKind::Leaving).m_RetryAfter, Leaving);
     CrashVerdict Verdict = co_await settledCrashVerdict();
+    co_await waitForConfirmation();
     if (isKeyRevoked())
       co_return co_await giveUp(Last, Duration::zero(), UnknownKey);
     if (std::string_view Reason = residencyRefusal(); !Reason.empty())
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -118,6 +118,9 @@
   /// the regions may have changed since the request was accepted. Refers to
   /// m_Routes and GatewayState::m_Routes.
   [[nodiscard]] Residency residency() const;
+  /// \brief After a pause of the process: waits for a short time until the
+  /// configuration is confirmed.
+  awaitable<void> waitForConfirmation();
   /// \brief Why the request can't be sent anywhere at present, whatever the
   /// state of the upstreams; empty if it can.
   [[nodiscard]] std::string_view residencyRefusal() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,7 +22,6 @@
 #include <fstream>
 #include <iterator>
 #include <sys/stat.h>
-#include <time.h>
 
 namespace mustardspoke::steer {
 namespace {
@@ -51,16 +50,9 @@
 /// Smallest change of suspendedTime() that counts as a suspension.
 constexpr Duration MinSuspension = 500ms;
 
-Duration clockNow(clockid_t Clock) {
-  timespec Now{};
-  ::clock_gettime(Clock, &Now);
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::seconds(Now.tv_sec) + std::chrono::nanoseconds(Now.tv_nsec));
-}
-
 /// \brief Total time that the VM was suspended since its boot.
 Duration suspendedTime() {
-  return clockNow(CLOCK_BOOTTIME) - clockNow(CLOCK_MONOTONIC);
+  return timeSinceBoot() - steadyNow().time_since_epoch();
 }
 
 std::optional<std::string> readFile(const std::string &Path) {
@@ -97,6 +89,12 @@
         duration_cast<milliseconds>(system_clock::now().time_since_epoch())
             .count());
     m_State.m_Fleet.startListening(steadyNow());
+    m_State.m_OnPause = [this](Duration Pause) {
+      logEvent(LogLevel::Warning, "was-paused",
+               {{"ms", std::to_string(toMillis(Pause))},
+                {"routes", std::to_string(m_State.routesVersion())}});
+      m_Replica.confirmConfiguration();
+    };
   }
 
   int run();
@@ -160,6 +158,7 @@
   Fleet &Peers = m_State.m_Fleet;
   Peers.m_Self.m_Ready = m_State.ready();
   Peers.m_Self.m_Leaving = m_State.m_Leaving;
+  m_State.noticePause();
   LookupAnswer Answer = Peers.answerLookup(CallerPlacement, steadyNow());
   m_Lookups.record(CallerPlacement, Answer, steadyNow() - m_State.m_StartedAt);
   if (Answer.m_Addresses.empty())
@@ -340,6 +339,7 @@
     TimePoint Due = steadyNow() + TickInterval;
     Timer.expires_at(toSteady(Due));
     co_await Timer.async_wait(noThrow(Ignored));
+    m_State.noticePause();
     m_Pool.closeExpired(steadyNow());
     m_BufferLog.logChanges(m_State.m_Buffers);
     Duration Lateness = steadyNow() - Due;
@@ -399,6 +399,8 @@
        {"peers", Settings.m_PeerAddress},
        {"relay", Settings.m_RelayAddress},
        {"incarnation", std::to_string(m_State.m_Fleet.m_Self.m_Incarnation)}});
+  // A wait for an address is no pause.
+  (void)m_State.m_Pauses.check(timeSinceBoot());
   armSignals();
   m_Replica.start();
   m_LinkMonitor.start();
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -97,7 +97,7 @@
   Result.m_Sender.m_ContactAge = m_State.m_OwnLinks.contactAge();
   if (Region == m_State.m_Settings.m_Placement.m_Region)
     Result.m_ReaderAges = m_State.m_Fleet.readerAgesToSend(steadyNow());
-  // A version that is known to be old is no news to anybody.
+  // A version in a heartbeat confirms that of peers that were paused.
   bool InDoubt =
       m_State.m_Freshness.isInDoubt(m_State.routesVersion(), steadyNow());
   Result.m_ConfigVersion = InDoubt ? 0 : m_State.routesVersion();
@@ -207,6 +207,7 @@
   std::string Port = OwnAddress.substr(OwnAddress.rfind(':'));
   for (;;) {
     const RegionName &LocalRegion = m_State.m_Settings.m_Placement.m_Region;
+    m_State.noticePause();
     refreshQuotas();
     bool ContactsSeeds = m_Round % SeedContactInterval == 0;
     std::vector<Fleet::Recipient> Peers = sendHeartbeats();
@@ -256,6 +257,7 @@
         asio::buffer(Bytes), Sender, noThrow(Error));
     if (Error)
       continue; // A peer's port was closed; other peers may still send.
+    m_State.noticePause();
     auto Heartbeat =
         decodeHeartbeat(std::string_view(Bytes).substr(0, BytesRead));
     // A brief heartbeat of a sender that isn't known yet is of no use; a full
@@ -370,12 +372,14 @@
       Heartbeat.m_Sender.m_Region == m_State.m_Settings.m_Placement.m_Region &&
       (!m_State.m_Fleet.isSmall() ||
        m_State.m_Fleet.isStoreReader(Heartbeat.m_Sender.m_Vm, Now));
-  // A VM that can't read the store, or whose reads are old, takes the rows of
-  // any peer with a newer configuration.
+  // A VM that can't read the store, whose reads are old, or that was paused,
+  // takes the rows of any peer with a newer configuration.
   std::uint64_t OwnRoutes = m_State.routesVersion();
   Duration Lag =
       m_State.m_Freshness.lag(OwnRoutes, Now).value_or(Duration::zero());
-  bool MayWait = m_Replica.storeReachable() && Lag < RowLag::ReaderDelay;
+  bool MayWait = m_Replica.storeReachable() &&
+                 !m_State.m_Freshness.isUnconfirmed() &&
+                 Lag < RowLag::ReaderDelay;
   bool WantsRoutes = Heartbeat.m_ConfigVersion > OwnRoutes && !MayWait;
   bool IsBehind = SenderRelays &&
                   m_RowLag.mustFetch(OwnVersions, Heartbeat.m_SyncedVersions,
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway/own_links.h"
+#include "gateway/pause_detector.h"
 #include "gateway/row_decoder.h"
 #include "gateway/settings.h"
 #include "gateway/wire_format.h"
@@ -70,7 +71,10 @@
   RouteTablePtr m_Routes; ///< Null until the first configuration is adopted.
   TimePoint m_RoutesAdoptedAt{}; ///< When m_Routes was set.
   ConfigFreshness m_Freshness;   ///< Of m_Routes.
-  TimePoint m_StoreReachedAt{};  ///< Last answer of the store to this VM.
+  PauseDetector m_Pauses{timeSinceBoot()};
+  /// Called after a pause of the process, with its length.
+  std::function<void(Duration)> m_OnPause;
+  TimePoint m_StoreReachedAt{}; ///< Last answer of the store to this VM.
   UpstreamTable m_Upstreams;
   OwnLinks m_OwnLinks;
   Fleet m_Fleet;
@@ -127,6 +131,17 @@
   [[nodiscard]] std::uint64_t routesVersion() const noexcept {
     return m_Routes ? m_Routes->m_Version : 0;
   }
+  /// \brief To be called before anything that relies on what was known before
+  /// the last turn of the event loop.
+  void noticePause() {
+    std::optional<Duration> Pause = m_Pauses.check(timeSinceBoot());
+    if (!Pause)
+      return;
+    m_Freshness.recordPause(steadyNow());
+    m_Fleet.startListening(steadyNow());
+    if (m_OnPause)
+      m_OnPause(*Pause);
+  }
   /// \brief Begins a shutdown, at whose end requests are ended.
   void beginStop(TimePoint StopsAt) noexcept {
     m_Leaving = true;
--- a/src/gateway/store_replica.cpp
+++ b/src/gateway/store_replica.cpp
@@ -197,10 +197,19 @@
 }
 
 awaitable<bool> StoreReplica::readTable(std::string Table) {
+  m_State.noticePause();
+  TimePoint RequestedAt = steadyNow();
   StoreResult Result = co_await m_Store.read(Table);
   noteStoreResult(Result, "read " + Table);
   if (Result.m_CallStatus != StoreCallStatus::Done)
     co_return false;
+  applyFullRead(Table, std::move(Result), RequestedAt);
+  m_FullReadDone.notify();
+  co_return true;
+}
+
+void StoreReplica::applyFullRead(const std::string &Table, StoreResult Result,
+                                 TimePoint RequestedAt) {
   beginBatch("read " + Table);
   for (StoreRow &Row : Result.m_Rows) {
     Row.m_Table = Table;
@@ -211,8 +220,38 @@
   recordFullRead(Table, Result.m_Version, "store");
   std::uint64_t &FeedVersion = m_FeedVersions[Table];
   FeedVersion = std::max(FeedVersion, Result.m_Version);
-  m_FullReadDone.notify();
-  co_return true;
+  if (Table == m_State.m_Decoder.m_Tables.m_Operators)
+    m_State.m_Freshness.recordRead(RequestedAt, m_State.routesVersion());
+}
+
+void StoreReplica::confirmConfiguration() {
+  if (std::exchange(m_Confirms, true))
+    return;
+  startTask(
+      m_State.m_Io, "confirm-configuration",
+      [this]() { return confirmationLoop(); }, [this] { m_Confirms = false; });
+}
+
+awaitable<void> StoreReplica::confirmationLoop() {
+  std::string Table = m_State.m_Decoder.m_Tables.m_Operators;
+  while (m_State.m_Freshness.isUnconfirmed()) {
+    TimePoint RequestedAt = steadyNow();
+    StoreResult Result = co_await m_Store.read(Table);
+    // Not noteStoreResult(): whether this VM can follow the store is its
+    // concern only while it has to.
+    bool Done = Result.m_CallStatus == StoreCallStatus::Done;
+    if (Done) {
+      m_State.m_StoreReachedAt = steadyNow();
+      noteEra(eraOf(Result.m_Version), "confirmation");
+      applyFullRead(Table, std::move(Result), RequestedAt);
+    }
+    if (m_State.m_Freshness.isUnconfirmed())
+      co_await sleepFor(m_State.m_Io, RetryDelay);
+  }
+  // A pause from here on begins the next loop.
+  m_Confirms = false;
+  logEvent(LogLevel::Info, "configuration-confirmed",
+           {{"version", std::to_string(m_State.routesVersion())}});
 }
 
 void StoreReplica::setReadsStore(bool ReadsStore) {
--- a/src/gateway/store_replica.h
+++ b/src/gateway/store_replica.h
@@ -43,6 +43,10 @@
   /// \brief Applies rows from a peer; those older than the known ones are
   /// ignored.
   void applyRelayedRows(const RelayedRows &Rows);
+  /// \brief Reads the operators' rows until the configuration is confirmed,
+  /// whatever this VM's role: after a pause, peers may not have told it of a
+  /// change yet.
+  void confirmConfiguration();
   /// \brief Applies what \p Peer says of the ends of upstreams: runs that have
   /// announced theirs, and runs whose registrations it has removed.
   void receivedDepartures(std::span<const UpstreamRunKey> Announced,
@@ -98,6 +102,11 @@
   awaitable<void> endStaleFeedCall(std::string Table, std::uint64_t Number);
   awaitable<void> fullReadLoop(std::string Table, Duration ReadInterval);
   awaitable<bool> readTable(std::string Table);
+  /// \brief Applies a full read of a table.
+  /// \param RequestedAt When it was asked for.
+  void applyFullRead(const std::string &Table, StoreResult Result,
+                     TimePoint RequestedAt);
+  awaitable<void> confirmationLoop();
   /// \brief Removes the rows that are missing from a full read at version
   /// \p Version.
   void removeMissing(const std::string &Table,
@@ -174,6 +183,7 @@
   unsigned m_BatchUpstreamLines = 0;
   std::string m_BatchSource; ///< See beginBatch().
 
+  bool m_Confirms = false; ///< confirmationLoop() is running.
   bool m_StoreReachable = false;
   TimePoint m_StoreLostAt{};
   TimePoint m_StoreReturnedAt{};
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -31,7 +31,7 @@
     };
     std::ofstream(m_Directory + "/settings.json")
         << R"({"vm":"v","region":"r","failureDomain":"z",)"
-           R"("failureDomains":{"z":"r"},"store":")"
+           R"("failureDomains":{"z":"r","y":"q"},"store":")"
         << StoreAddress << R"(","listen":{"ip":")" << Ip << R"(","callers":)"
         << At(CallerPort) << R"(,"ready":)" << At(CallerPort + 1)
         << R"(,"lookups":)" << At(CallerPort + 2) << R"(,"peerPorts":[")"
--- a/tests/unit/residency_test.cpp
+++ b/tests/unit/residency_test.cpp
@@ -1,10 +1,11 @@
 /// \file
 /// Requests that may be processed in some regions only, while the configuration
-/// that says so changes.
+/// that says so changes or may have changed.
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
 #include "support/cut_gateway.h"
+#include "support/log_capture.h"
 
 using namespace mustardspoke;
 using namespace mustardspoke::steer;
@@ -203,6 +204,53 @@
 
 constexpr TimePoint Start{1h};
 
+BOOST_AUTO_TEST_CASE(PauseIsToldFromABusyEventLoop) {
+  PauseDetector Pauses(10s);
+  BOOST_TEST(!Pauses.check(10500ms).has_value());
+  BOOST_TEST(!Pauses.check(12400ms).has_value());
+  std::optional<Duration> Pause = Pauses.check(14400ms);
+  BOOST_REQUIRE(Pause.has_value());
+  BOOST_TEST((*Pause == 2s));
+  BOOST_TEST(!Pauses.check(14401ms).has_value());
+}
+
+// Guards against an answer to a question of before the pause, and against one
+// that is older than what peers have, that are taken for news.
+BOOST_AUTO_TEST_CASE(OnlyNewsThatWereAskedForAfterThePauseConfirm) {
+  ConfigFreshness Known;
+  BOOST_TEST(!Known.isInDoubt(3, Start));
+  Known.recordPause(Start);
+  BOOST_TEST(Known.isInDoubt(3, Start));
+  BOOST_TEST(Known.isAwaited(Start));
+  BOOST_TEST(!Known.isAwaited(Start + 500ms));
+  BOOST_TEST(Known.isInDoubt(3, Start + 1min));
+  Known.recordRead(Start - 1ms, 3);
+  BOOST_TEST(Known.isInDoubt(3, Start));
+  (void)Known.recordReport(4, 3, Start);
+  Known.recordRead(Start + 1ms, 3);
+  BOOST_TEST(Known.isUnconfirmed());
+  Known.recordRead(Start + 1ms, 4);
+  BOOST_TEST(!Known.isInDoubt(4, Start));
+}
+
+// Heartbeats that waited in the socket, and those of peers that were paused
+// too or have another version, confirm nothing.
+BOOST_AUTO_TEST_CASE(LaterHeartbeatOfTheSameVersionConfirms) {
+  ConfigFreshness Known;
+  Known.recordPause(Start);
+  (void)Known.recordReport(3, 3, Start + 100ms);
+  (void)Known.recordReport(0, 3, Start + 400ms);
+  (void)Known.recordReport(2, 3, Start + 400ms);
+  BOOST_TEST(Known.isUnconfirmed());
+  (void)Known.recordReport(3, 3, Start + 400ms);
+  BOOST_TEST(!Known.isUnconfirmed());
+  // A peer that lags as this VM does, while another one has a newer version.
+  Known.recordPause(Start + 1s);
+  (void)Known.recordReport(4, 3, Start + 1100ms);
+  (void)Known.recordReport(3, 3, Start + 1400ms);
+  BOOST_TEST(Known.isUnconfirmed());
+}
+
 // Guards against a VM that goes on under a configuration that its peers have
 // replaced long ago. Versions that follow each other don't set the time back.
 BOOST_AUTO_TEST_CASE(LagBehindPeersIsInDoubtAfterASecond) {
@@ -227,8 +275,48 @@
   }
 }
 
-// While peers have had a newer version for over a second, requests that the
-// held one binds to a region are refused.
+// Requests that arrived while the process stood still run where the
+// configuration of after the pause allows.
+BOOST_AUTO_TEST_CASE(RequestAfterAPauseWaitsForTheConfiguration) {
+  TwoHomes Homes;
+  Homes.upstream("e", East, nullptr, false);
+  Homes.upstream("w", West, nullptr, false);
+  GatewayState &State = Homes.m_Rig.m_State;
+  State.m_OnPause = [&](Duration) {
+    spawn(Homes.m_Rig.m_Io, [&]() -> awaitable<void> {
+      TimePoint RequestedAt = steadyNow();
+      co_await sleepFor(Homes.m_Rig.m_Io, 50ms);
+      Homes.bind(West);
+      State.m_Freshness.recordRead(RequestedAt, State.routesVersion());
+    });
+  };
+  State.m_Pauses = PauseDetector(timeSinceBoot() - 5s);
+  BOOST_TEST(Homes.m_Rig.ask(safeRequest("1")).m_Body == "west");
+  BOOST_TEST((Homes.m_Arrived == Ids{"1@west"}));
+}
+
+// While nothing confirms the configuration, requests that it binds to a region
+// are refused as not run, and the others are served.
+BOOST_AUTO_TEST_CASE(UnconfirmedHomesAreARefusal) {
+  LogCapture Log;
+  TwoHomes Homes;
+  Homes.upstream("e", East, nullptr, false);
+  GatewayState &State = Homes.m_Rig.m_State;
+  State.m_Pauses = PauseDetector(timeSinceBoot() - 5s);
+  HttpResponse Response = Homes.m_Rig.ask(safeRequest("1"));
+  BOOST_TEST(Response.m_Head.m_Status == 503U);
+  BOOST_TEST(Response.m_Head.find("Retry-After") != nullptr);
+  BOOST_TEST(Log.contains("configuration-in-doubt"));
+  BOOST_TEST(Homes.m_Arrived.empty());
+  auto Open = std::make_shared<RouteTable>();
+  Route Unbound = *State.m_Routes->find("h", "/safe/");
+  Unbound.m_AllowedRegions.clear();
+  Open->add("h", Unbound);
+  State.m_Routes = Open;
+  BOOST_TEST(Homes.m_Rig.ask(safeRequest("2")).m_Head.m_Status == 200U);
+}
+
+// The same while peers have had a newer version for over a second.
 BOOST_AUTO_TEST_CASE(HomesThatPeersHaveReplacedAreARefusal) {
   TwoHomes Homes;
   Homes.upstream("e", East, nullptr, false);
