Soak: a route whose home moves, and where its requests run

Every fourth read is bound to a region that moves with the edition. Requests run nowhere else from 4 s after a change on, and at once after a pause of their VM that it must notice. In the check of VMs that are cut off, a request that is bound to a region counts if a VM of that region can carry it.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -49,7 +49,11 @@
     {"GET /edition/x HTTP/1.1\r\n", "", true},
     {"GET /read/crash HTTP/1.1\r\n", "", true},
     {"GET /public/x HTTP/1.1\r\n", "", true},
-    {"POST /upload/x HTTP/1.1\r\n", "", false}};
+    {"POST /upload/x HTTP/1.1\r\n", "", false},
+    {"GET /home/x HTTP/1.1\r\n", "", true}};
+/// Each n-th read is bound to a region; not by chance, so that seeds draw what
+/// they drew before.
+constexpr std::size_t ReadsPerBoundRead = 4;
 
 RequestKind randomKind(Random &Rng) {
   unsigned Drawn = Rng(10);
@@ -181,6 +185,14 @@
 }
 
 RequestPlan Callers::planRequest(Session &Connection, Random &Rng) const {
+  RequestPlan Result = drawRequest(Connection, Rng);
+  if (Result.m_Kind == RequestKind::Read &&
+      m_Observed.m_Attempts.size() % ReadsPerBoundRead == 0)
+    Result.m_Kind = RequestKind::Home;
+  return Result;
+}
+
+RequestPlan Callers::drawRequest(Session &Connection, Random &Rng) const {
   if (!hasCustomers())
     return {randomKind(Rng)};
   RequestPlan &Last = Connection.m_LastPlan;
@@ -234,6 +246,7 @@
   Added.m_Idempotent = RequestTemplates[std::size_t(Plan.m_Kind)].m_Idempotent;
   Added.m_Key = Plan.m_Key;
   Added.m_IsPublic = Plan.m_Kind == RequestKind::Public;
+  Added.m_IsBound = Plan.m_Kind == RequestKind::Home;
   if (!Plan.m_Body.empty())
     Added.m_BodyHash = stableHash(Plan.m_Body);
   Added.m_Vm = Connection.m_Vm;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -28,6 +28,7 @@
   Crashing, ///< Ends each upstream that begins to run it.
   Public,   ///< Needs no key.
   Upload,
+  Home, ///< Its route has a home, which moves.
 };
 
 /// \brief What a caller decides on a request before it is sent.
@@ -73,6 +74,8 @@
     return !m_Observed.m_KeyPeriods.empty();
   }
   /// \brief Draws a request, and now and then another key for \p Connection.
+  [[nodiscard]] RequestPlan drawRequest(Session &Connection, Random &Rng) const;
+  /// \brief The same, but some reads are bound to a region.
   [[nodiscard]] RequestPlan planRequest(Session &Connection, Random &Rng) const;
   /// \brief Draws a valid, unknown, withdrawn or malformed key, or none.
   void drawKey(RequestPlan &Plan, Random &Rng) const;
--- a/tests/soak/customer_checks.cpp
+++ b/tests/soak/customer_checks.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Invariants on keys, customers' names, request bodies and quotas.
+/// Invariants on keys, customers' names, request bodies, quotas and regions.
 #include "soak/observations.h"
 
 #include <algorithm>
@@ -8,10 +8,16 @@
 
 bool Observations::hasCurrentKeys(unsigned Vm, TimePoint From, TimePoint To,
                                   const InvariantLimits &Limits) const {
+  return !overlaps(m_Vms.at(Vm).m_Paused,
+                   From - Limits.m_KeyDelay - Limits.m_KeySettleTime, To) &&
+         mayLearnOfChanges(Vm, From, To, Limits);
+}
+
+bool Observations::mayLearnOfChanges(unsigned Vm, TimePoint From, TimePoint To,
+                                     const InvariantLimits &Limits) const {
   const VmHistory &History = m_Vms.at(Vm);
   From -= Limits.m_KeyDelay + Limits.m_KeySettleTime;
-  return !overlaps(History.m_Paused, From, To) &&
-         !overlaps(History.m_StoreCut, From, To) &&
+  return !overlaps(History.m_StoreCut, From, To) &&
          !anyWithin(History.m_Killed, From, To) &&
          !anyWithin(History.m_Stopped, From, To) &&
          !anyWithin(History.m_Ended, From, To) &&
@@ -94,6 +100,36 @@
                    " ms after its key was taken away"));
 }
 
+void Observations::checkHomes(const InvariantLimits &Limits,
+                              Messages &Violations) const {
+  for (const Attempt &Entry : m_Attempts) {
+    auto Found = m_Executions.find(Entry.m_Id);
+    if (!Entry.m_IsBound || Found == m_Executions.end())
+      continue;
+    for (const Execution &Executed : Found->second) {
+      TimePoint At = Executed.m_StartedAt;
+      TimePoint From = At - Limits.m_KeyDelay;
+      // A VM that stood still has to ask before it sends what has arrived.
+      for (const Disruption &Pause : m_Vms.at(Entry.m_Vm).m_Paused)
+        if (Pause.m_End <= At &&
+            Pause.m_End - Pause.m_Begin > Limits.m_MinPause)
+          From = std::max(From, Pause.m_End);
+      bool IsHome = std::ranges::any_of(m_Homes, [&](const HomePeriod &Home) {
+        return Home.m_Region == Executed.m_Region && Home.m_From <= At &&
+               Home.m_Until >= From;
+      });
+      if (!IsHome &&
+          !overlaps(m_StoreDisruptions, From - Limits.m_SettleTime, At) &&
+          !overlaps(m_LinkDisruptions, Entry.m_SentAt, At) &&
+          mayLearnOfChanges(Entry.m_Vm, Entry.m_SentAt, At, Limits))
+        Violations.push_back(
+            message(Entry, "ran in " + Executed.m_Region + ", " +
+                               std::to_string(toMillis(At - Entry.m_SentAt)) +
+                               " ms after it was sent; its home is elsewhere"));
+    }
+  }
+}
+
 void Observations::checkQuotas(const InvariantLimits &Limits,
                                Messages &Violations) const {
   for (const QuotaLimit &Quota : m_Quotas) {
--- a/tests/soak/local_deployment.cpp
+++ b/tests/soak/local_deployment.cpp
@@ -47,12 +47,14 @@
 }
 
 Json ruleJson(const char *Path, const char *Type, const std::string &Service,
-              const char *Timeout, unsigned Attempts) {
+              const char *Timeout, unsigned Attempts,
+              Json Homes = Json::array()) {
   Json Match = Json::object();
   Match.set("prefix", Json("/" + std::string(Path) + "/"));
   Json Action = Json::object();
   Action.set("service", Json(Service)).set("timeout", Json(Timeout));
   Action.set("maxAttempts", Json(Attempts));
+  Action.set("allowedRegions", std::move(Homes));
   Json Result = Json::object();
   Result.set("name", Json(Path)).set("type", Json(Type));
   Result.set("targetLatency", Json("300ms")).set("priority", Json(0));
@@ -94,6 +96,9 @@
       m_Table(Io, address(0, 0, StorePort)), m_Vms(m_Plan.m_Vms),
       m_StoreLinkDisturbed(m_Plan.m_Vms) {
   m_Observed.m_Vms.resize(m_Plan.m_Vms);
+  for (unsigned Vm = 0; Vm < m_Plan.m_Vms; ++Vm)
+    m_Observed.m_Vms[Vm].m_Region =
+        regionOf(failureDomains()[Vm % failureDomains().size()]);
   for (unsigned I = 0; I < m_Plan.m_StockUpstreams; ++I)
     addUpstream("stock-" + std::to_string(I), "stock");
   for (unsigned I = 0; I < m_Plan.m_OrderUpstreams; ++I)
@@ -310,6 +315,12 @@
                      "edition-" + std::to_string(m_Edition));
   ++m_Edition;
   m_Version += 1 + m_Edition % 3;
+  TimePoint Now = steadyNow();
+  if (!m_Observed.m_Homes.empty())
+    m_Observed.m_Homes.back().m_Until = Now;
+  const std::string &Domain =
+      failureDomains()[m_Edition % failureDomains().size()];
+  m_Observed.m_Homes.push_back({regionOf(Domain), Now});
   writeConfiguration();
 }
 
@@ -360,6 +371,9 @@
   Rules.push(ruleJson("read", "safe", "stock", "2s", 3));
   Rules.push(ruleJson("order", "unsafe", "orders", "3s", 2));
   Rules.push(ruleJson("edition", "safe", Edition, "2s", 2));
+  Json Homes = Json::array();
+  Homes.push(Json(m_Observed.m_Homes.back().m_Region));
+  Rules.push(ruleJson("home", "safe", "stock", "2s", 3, std::move(Homes)));
   if (m_Plan.m_HasCustomers) {
     Json Public = ruleJson("public", "safe", "stock", "2s", 3);
     Public.set("public", Json(true));
--- a/tests/soak/observations.cpp
+++ b/tests/soak/observations.cpp
@@ -68,6 +68,7 @@
   checkRetries(Limits, Result);
   checkCuts(Limits, Result);
   checkCustomers(Limits, Result);
+  checkHomes(Limits, Result);
   if (Limits.m_CheckQuota)
     checkQuotas(Limits, Result);
   if (Limits.m_CheckTiming)
@@ -181,7 +182,14 @@
 bool Observations::anyHasLinks(const Attempt &During,
                                const InvariantLimits &Limits) const {
   return std::ranges::any_of(m_Vms, [&](const VmHistory &Vm) {
-    return isInTouch(Vm, During.m_SentAt, Limits) &&
+    // A peer outside the home may not carry a request that is bound to it.
+    bool MayCarry = !During.m_IsBound ||
+                    std::ranges::any_of(m_Homes, [&](const HomePeriod &Home) {
+                      return Home.m_Region == Vm.m_Region &&
+                             Home.m_From <= During.m_SentAt &&
+                             Home.m_Until >= During.m_EndedAt;
+                    });
+    return MayCarry && isInTouch(Vm, During.m_SentAt, Limits) &&
            !overlaps(Vm.m_Cut, During.m_SentAt - Limits.m_SettleTime,
                      During.m_EndedAt);
   });
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -19,6 +19,15 @@
   std::string m_Customer;       ///< As the VM named it; empty: none.
   bool m_SawKey = false;        ///< It got the caller's key.
   std::uint64_t m_BodyHash = 0; ///< Of the request.
+  std::string m_Region;         ///< Of the upstream.
+};
+
+/// \brief The time for which the configuration in the store binds the requests
+/// of the route "home" to a region.
+struct HomePeriod {
+  std::string m_Region;
+  TimePoint m_From{};
+  TimePoint m_Until = TimePoint::max(); ///< max(): it still does.
 };
 
 /// Part of every key that callers send, also of unknown ones. It must not
@@ -64,6 +73,7 @@
   std::string m_Body;
   std::string m_Key;            ///< That it carries; empty: none, or malformed.
   bool m_IsPublic = false;      ///< Its route needs no key.
+  bool m_IsBound = false;       ///< Its route has a home.
   std::uint64_t m_BodyHash = 0; ///< Of the request; 0: not known.
 };
 
@@ -75,6 +85,7 @@
 
 /// \brief Events of one VM's process.
 struct VmHistory {
+  std::string m_Region;
   std::vector<Disruption> m_Paused;
   std::vector<Disruption> m_Cut;      ///< From all upstreams.
   std::vector<Disruption> m_StoreCut; ///< From the store.
@@ -121,11 +132,13 @@
   double m_CutFailures = 10;
   double m_CutFailureFraction = 1.0 / 50;
   /// From the write of a configuration until no VM uses a key any more that it
-  /// doesn't list.
+  /// doesn't list, nor a home that it doesn't name.
   Duration m_KeyDelay = 4s;
   /// A VM that was disturbed in this time, in addition to m_KeyDelay, may not
   /// know the newest configuration yet.
   Duration m_KeySettleTime = 1s;
+  /// A VM notices that it stood still for longer than this.
+  Duration m_MinPause = 2500ms;
   bool m_CheckQuota = false;
   Duration m_QuotaWindow = 5s;
   double m_QuotaTolerance = 1.1; ///< Factor on what the quota allows ...
@@ -159,6 +172,7 @@
   /// Of all keys; empty if the configuration has no customers.
   std::vector<KeyPeriod> m_KeyPeriods;
   std::vector<QuotaLimit> m_Quotas;
+  std::vector<HomePeriod> m_Homes; ///< In the order of time.
   /// Ends of upstreams under the crashing request, and its sends.
   std::vector<TimePoint> m_CrashedByRequest;
   std::vector<std::string> m_Violations; ///< Found during the run.
@@ -186,11 +200,18 @@
                        Messages &Violations) const;
   void checkCustomer(const Attempt &Entry, const Execution &Arrival,
                      const InvariantLimits &Limits, Messages &Violations) const;
+  /// \brief Requests that are bound to a region run nowhere else, m_KeyDelay
+  /// after a change; after a pause of their VM at once.
+  void checkHomes(const InvariantLimits &Limits, Messages &Violations) const;
   void checkQuotas(const InvariantLimits &Limits, Messages &Violations) const;
   /// \brief Whether a VM must know the configurations that were written
   /// m_KeyDelay before any time from \p From to \p To.
   [[nodiscard]] bool hasCurrentKeys(unsigned Vm, TimePoint From, TimePoint To,
                                     const InvariantLimits &Limits) const;
+  /// \brief The same if a pause of the process is no excuse.
+  [[nodiscard]] bool mayLearnOfChanges(unsigned Vm, TimePoint From,
+                                       TimePoint To,
+                                       const InvariantLimits &Limits) const;
   /// \brief Whether the process of a VM has been running undisturbed for the
   /// settle time before \p At, except for cuts.
   [[nodiscard]] static bool isInTouch(const VmHistory &Vm, TimePoint At,
--- a/tests/soak/upstream_standin.cpp
+++ b/tests/soak/upstream_standin.cpp
@@ -117,9 +117,13 @@
         return equalIgnoringCase(Field.m_Name, "Authorization") ||
                Field.m_Value.find(KeyMarker) != std::string::npos;
       });
-  return {steadyNow(), m_Plan.m_Service,
-          m_Plan.m_Id, Connection.field("X-Tenant-Id"),
-          SawKey,      stableHash(Connection.body())};
+  return {steadyNow(),
+          m_Plan.m_Service,
+          m_Plan.m_Id,
+          Connection.field("X-Tenant-Id"),
+          SawKey,
+          stableHash(Connection.body()),
+          m_Plan.m_Domain.substr(0, m_Plan.m_Domain.find('-'))};
 }
 
 awaitable<void> UpstreamStandIn::serve(ConnectionPtr Connection,
