--- a/tests/processes/gateway_test.cpp
+++ b/tests/processes/gateway_test.cpp
@@ -71,8 +71,10 @@
 class StoreAndUpstreams {
 public:
   StoreAndUpstreams() {
-    for (const auto &[Domain, Region] :
-         {std::pair("z", "r"), std::pair("y", "q")}) {
+    using Place = std::pair<std::string, std::string>;
+    for (const Place &Each : {Place("z", "r"), Place("y", "q")}) {
+      const std::string &Domain = Each.first;
+      const std::string &Region = Each.second;
       steer::Tcp::acceptor &Acceptor = m_Acceptors.emplace_back(
           m_Io, steer::Tcp::endpoint(asio::ip::make_address("127.0.10.8"), 0));
       acceptEach(m_Io, Acceptor, [this, Region](steer::Tcp::socket Socket) {
